Lay out the workspace with the document and coordination crates

The document is read into a tree that knows its places, checked with all findings at once and cut into parts. Coordination holds membership, the replicated configuration, leases and the ledger as state machines without I/O. Not run yet beyond the compiler.

--- /dev/null
+++ b/crates/coordination/src/ledger/message.rs
@@ -0,0 +1,75 @@
+//! Messages about the ledger between hosts.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ledger::entry;
+
+/// An entry on its way to the owner of its shard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Submission {
+    /// Chosen by the sender; the verdict names it.
+    pub number: u64,
+    /// The entry.
+    pub entry: entry::Entry,
+}
+
+/// A verdict on its way back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Decided {
+    /// The submission.
+    pub number: u64,
+    /// What became of it.
+    pub verdict: entry::Verdict,
+}
+
+/// Something that a backup keeps for the host that says it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Note {
+    /// A request was admitted and has to be billed.
+    Opened {
+        /// Counts the requests of the sender.
+        number: u64,
+        /// The organisation that pays.
+        organisation: Arc<str>,
+    },
+    /// The bill of a request, not durable yet.
+    Billed(entry::Bill),
+    /// The bill of a request is durable.
+    Closed {
+        /// Counts the requests of the sender.
+        number: u64,
+    },
+}
+
+/// A message about the ledger.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Message {
+    /// Entries for a shard that the sender believes the receiver to own.
+    Submit {
+        /// The shard.
+        shard: u32,
+        /// The entries.
+        submissions: Vec<Submission>,
+    },
+    /// Verdicts on entries of the receiver.
+    Verdicts(Vec<Decided>),
+    /// Notes for the receiver to keep.
+    Notes {
+        /// Counts the sender's messages of this kind.
+        sequence: u64,
+        /// The notes in order.
+        notes: Vec<Note>,
+    },
+    /// Notes up to this one are kept.
+    NotesKept {
+        /// The sequence number of the notes.
+        sequence: u64,
+    },
+}
--- /dev/null
+++ b/crates/coordination/src/membership.rs
@@ -0,0 +1,552 @@
+//! Membership by gossip, with suspicion and incarnation numbers.
+
+use std::cmp;
+use std::collections;
+use std::net;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand::seq::IteratorRandom as _;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::identity;
+
+/// Time between two probes, in milliseconds.
+pub const PROBE_INTERVAL_MS: u64 = 1_000;
+/// Time after which an unanswered probe is tried through others, in milliseconds.
+pub const DIRECT_TIMEOUT_MS: u64 = 300;
+/// Time between two exchanges of the whole list, in milliseconds.
+pub const SYNC_INTERVAL_MS: u64 = 30_000;
+/// Time between two attempts to reach a start address or a dead member, in milliseconds.
+pub const REJOIN_INTERVAL_MS: u64 = 2_000;
+/// Time for which a dead member is remembered, in milliseconds.
+pub const FORGET_MS: u64 = 600_000;
+/// Gap between two ticks after which a host knows that it was paused, in milliseconds.
+pub const PAUSE_GAP_MS: u64 = 2_000;
+/// Hosts asked to probe a silent member.
+const INDIRECT_PROBES: usize = 3;
+/// Most updates carried by one message.
+const UPDATES_MAX: usize = 8;
+
+/// What is known of a member's state; a later variant outranks an earlier one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub enum Status {
+    /// It answers.
+    Alive,
+    /// It finishes what it has and takes nothing new.
+    Leaving,
+    /// It has not answered lately.
+    Suspect,
+    /// It is gone.
+    Dead,
+}
+
+/// What hosts tell each other about a member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Record {
+    /// Who it is.
+    pub info: identity::HostInfo,
+    /// Raised by the member itself to refute a suspicion.
+    pub incarnation: u32,
+    /// Its state.
+    pub status: Status,
+    /// Whether it said that it is leaving; kept while it is suspected.
+    pub leaving: bool,
+}
+
+/// A message between hosts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Message {
+    /// Asks for an [`Message::Ack`].
+    Ping {
+        /// Ties the answer to the question.
+        nonce: u64,
+        /// Recent changes.
+        updates: Vec<Record>,
+    },
+    /// Answers a ping.
+    Ack {
+        /// The nonce of the ping.
+        nonce: u64,
+        /// Recent changes.
+        updates: Vec<Record>,
+    },
+    /// Asks the receiver to ping a member and pass on its answer.
+    PingRequest {
+        /// The nonce to answer with.
+        nonce: u64,
+        /// The member to ping.
+        target: identity::HostId,
+    },
+    /// The whole list of members.
+    Sync {
+        /// All records.
+        records: Vec<Record>,
+        /// Whether the sender wants the receiver's list.
+        wants_reply: bool,
+    },
+}
+
+/// What the caller of [`Membership`] is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Send a message to another host.
+    Send {
+        /// Address of the host.
+        to: net::SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// Replace the connection to a host that may have gone silent.
+    Reconnect {
+        /// Address of the host.
+        address: net::SocketAddr,
+    },
+    /// A member's state changed.
+    Changed {
+        /// The member.
+        host: identity::HostId,
+        /// Its state now.
+        status: Status,
+    },
+    /// This host was paused: nothing that it relied on still holds.
+    Paused {
+        /// Length of the pause in milliseconds.
+        gap_ms: u64,
+    },
+}
+
+/// A member as seen by this host.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// What hosts tell each other.
+    pub record: Record,
+    /// When the state last changed, in milliseconds of this host's clock.
+    pub since_ms: u64,
+}
+
+#[derive(Debug)]
+struct Probe {
+    nonce: u64,
+    target: identity::HostId,
+    sent_ms: u64,
+    is_indirect: bool,
+}
+
+#[derive(Debug)]
+struct Relay {
+    nonce: u64,
+    from: net::SocketAddr,
+    sent_ms: u64,
+}
+
+/// The members as seen by this host.
+#[derive(Debug)]
+pub struct Membership {
+    me: identity::HostId,
+    members: collections::BTreeMap<identity::HostId, Member>,
+    seeds: collections::BTreeSet<net::SocketAddr>,
+    rng: rand_chacha::ChaCha8Rng,
+    probe: Option<Probe>,
+    probe_order: Vec<identity::HostId>,
+    relays: collections::BTreeMap<u64, Relay>,
+    rumours: collections::BTreeMap<identity::HostId, u32>,
+    next_probe_ms: u64,
+    next_sync_ms: u64,
+    next_rejoin_ms: u64,
+    last_tick_ms: u64,
+}
+
+impl Membership {
+    /// Starts with this host as the only member and addresses to start from.
+    #[must_use]
+    pub fn new(
+        info: identity::HostInfo,
+        seeds: collections::BTreeSet<net::SocketAddr>,
+        seed: u64,
+        now_ms: u64,
+    ) -> Self {
+        let me = info.id;
+        let record = Record { info, incarnation: 0, status: Status::Alive, leaving: false };
+        let member = Member { record, since_ms: now_ms };
+        let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let next_probe_ms = now_ms + rng.random_range(0..PROBE_INTERVAL_MS);
+        let next_sync_ms = now_ms + rng.random_range(0..SYNC_INTERVAL_MS);
+        Self {
+            me,
+            members: collections::BTreeMap::from([(me, member)]),
+            seeds,
+            rng,
+            probe: None,
+            probe_order: Vec::new(),
+            relays: collections::BTreeMap::new(),
+            rumours: collections::BTreeMap::new(),
+            next_probe_ms,
+            next_sync_ms,
+            next_rejoin_ms: now_ms,
+            last_tick_ms: now_ms,
+        }
+    }
+
+    /// All members, dead ones included until they are forgotten.
+    #[must_use]
+    pub fn members(&self) -> &collections::BTreeMap<identity::HostId, Member> {
+        &self.members
+    }
+
+    /// Members that may be given new work or ownership.
+    pub fn eligible(&self) -> impl Iterator<Item = &Record> {
+        self.members.values().map(|member| &member.record).filter(|record| {
+            !record.leaving && matches!(record.status, Status::Alive | Status::Suspect)
+        })
+    }
+
+    /// Ids of the members that may be given new work or ownership.
+    pub fn eligible_ids(&self) -> impl Iterator<Item = identity::HostId> {
+        self.eligible().map(|record| record.info.id)
+    }
+
+    /// The address of a member.
+    #[must_use]
+    pub fn address_of(&self, host: identity::HostId) -> Option<net::SocketAddr> {
+        self.members.get(&host).map(|member| member.record.info.peer_address)
+    }
+
+    /// Picks up to `count` other members that are not dead.
+    pub fn sample(&mut self, count: usize) -> Vec<net::SocketAddr> {
+        let me = self.me;
+        self.members
+            .values()
+            .filter(|member| member.record.info.id != me && member.record.status != Status::Dead)
+            .map(|member| member.record.info.peer_address)
+            .sample(&mut self.rng, count)
+    }
+
+    /// Tells the others that this host is leaving.
+    pub fn leave(&mut self) -> Vec<Effect> {
+        self.restate_me(true, 0);
+        let updates = self.take_updates();
+        let everybody = self.sample(usize::MAX);
+        let message = Message::Ping { nonce: 0, updates };
+        everybody.into_iter().map(|to| Effect::Send { to, message: message.clone() }).collect()
+    }
+
+    /// Moves time on; call at least ten times a second.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.notice_pause(now_ms, &mut effects);
+        self.check_probe(now_ms, &mut effects);
+        self.expire_suspects(now_ms, &mut effects);
+        self.relays.retain(|_, relay| now_ms < relay.sent_ms + PROBE_INTERVAL_MS);
+        if now_ms >= self.next_probe_ms {
+            self.next_probe_ms = now_ms + PROBE_INTERVAL_MS;
+            self.start_probe(now_ms, &mut effects);
+        }
+        if now_ms >= self.next_sync_ms {
+            self.next_sync_ms = now_ms + SYNC_INTERVAL_MS;
+            let peers = self.sample(1);
+            self.send_sync(&peers, &mut effects);
+        }
+        if now_ms >= self.next_rejoin_ms {
+            self.next_rejoin_ms = now_ms + REJOIN_INTERVAL_MS;
+            self.rejoin(&mut effects);
+        }
+        effects
+    }
+
+    /// Takes a message from the host at `from`.
+    pub fn receive(
+        &mut self,
+        from: net::SocketAddr,
+        message: Message,
+        now_ms: u64,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match message {
+            Message::Ping { nonce, updates } => {
+                self.merge(updates, now_ms, &mut effects);
+                let updates = self.take_updates();
+                effects.push(Effect::Send { to: from, message: Message::Ack { nonce, updates } });
+            }
+            Message::Ack { nonce, updates } => {
+                self.merge(updates, now_ms, &mut effects);
+                self.take_ack(nonce, now_ms, &mut effects);
+            }
+            Message::PingRequest { nonce, target } => {
+                self.relay_ping(from, nonce, target, now_ms, &mut effects);
+            }
+            Message::Sync { records, wants_reply } => {
+                self.merge(records, now_ms, &mut effects);
+                if wants_reply {
+                    let message = Message::Sync { records: self.records(), wants_reply: false };
+                    effects.push(Effect::Send { to: from, message });
+                }
+            }
+        }
+        effects
+    }
+
+    /// Time for which a silent member stays suspected before it counts as dead, in milliseconds.
+    #[must_use]
+    pub fn suspicion_ms(&self) -> u64 {
+        let rounds = u64::from((self.members.len() + 1).ilog2()).max(2);
+        (rounds + 1) * PROBE_INTERVAL_MS
+    }
+
+    fn records(&self) -> Vec<Record> {
+        self.members.values().map(|member| member.record.clone()).collect()
+    }
+
+    fn notice_pause(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        let gap_ms = now_ms.saturating_sub(self.last_tick_ms);
+        self.last_tick_ms = now_ms;
+        if gap_ms < PAUSE_GAP_MS {
+            return;
+        }
+        // Silence during one's own pause says nothing about others.
+        self.probe = None;
+        for member in self.members.values_mut() {
+            if member.record.status == Status::Suspect {
+                member.since_ms = now_ms;
+            }
+        }
+        self.next_sync_ms = now_ms;
+        effects.push(Effect::Paused { gap_ms });
+    }
+
+    fn check_probe(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        let Some(probe) = &mut self.probe else { return };
+        let (nonce, target, age_ms) = (probe.nonce, probe.target, now_ms - probe.sent_ms);
+        if age_ms >= PROBE_INTERVAL_MS {
+            self.probe = None;
+            self.suspect(target, now_ms, effects);
+        } else if age_ms >= DIRECT_TIMEOUT_MS && !probe.is_indirect {
+            probe.is_indirect = true;
+            self.probe_through_others(nonce, target, effects);
+        }
+    }
+
+    fn probe_through_others(
+        &mut self,
+        nonce: u64,
+        target: identity::HostId,
+        effects: &mut Vec<Effect>,
+    ) {
+        // The path may be dead while the member lives: a new connection tells.
+        if let Some(address) = self.address_of(target) {
+            effects.push(Effect::Reconnect { address });
+            let updates = self.take_updates();
+            effects.push(Effect::Send { to: address, message: Message::Ping { nonce, updates } });
+        }
+        for to in self.sample(INDIRECT_PROBES) {
+            effects.push(Effect::Send { to, message: Message::PingRequest { nonce, target } });
+        }
+    }
+
+    fn start_probe(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        let Some(target) = self.next_target() else { return };
+        let Some(to) = self.address_of(target) else { return };
+        let nonce = self.rng.random_range(1..u64::MAX);
+        let updates = self.take_updates();
+        effects.push(Effect::Send { to, message: Message::Ping { nonce, updates } });
+        self.probe = Some(Probe { nonce, target, sent_ms: now_ms, is_indirect: false });
+    }
+
+    /// Takes members in a random order that is drawn anew once all had their turn.
+    fn next_target(&mut self) -> Option<identity::HostId> {
+        for _ in 0..=self.members.len() {
+            if self.probe_order.is_empty() {
+                let ids = self.members.keys().copied().filter(|id| *id != self.me);
+                let count = self.members.len();
+                self.probe_order = ids.sample(&mut self.rng, count);
+                rand::seq::SliceRandom::shuffle(self.probe_order.as_mut_slice(), &mut self.rng);
+            }
+            let target = self.probe_order.pop()?;
+            let is_probed =
+                self.members.get(&target).is_some_and(|m| m.record.status != Status::Dead);
+            if is_probed {
+                return Some(target);
+            }
+        }
+        None
+    }
+
+    fn take_ack(&mut self, nonce: u64, now_ms: u64, effects: &mut Vec<Effect>) {
+        if let Some(relay) = self.relays.remove(&nonce) {
+            let message = Message::Ack { nonce: relay.nonce, updates: Vec::new() };
+            effects.push(Effect::Send { to: relay.from, message });
+            return;
+        }
+        let Some(probe) = self.probe.take_if(|probe| probe.nonce == nonce) else { return };
+        // An answer clears one's own suspicion; the member's refutation clears that of others.
+        if let Some(member) = self.members.get_mut(&probe.target)
+            && member.record.status == Status::Suspect
+        {
+            member.since_ms = now_ms;
+            self.rumours.insert(probe.target, 0);
+            let record = self.members[&probe.target].record.clone();
+            let to = record.info.peer_address;
+            let message = Message::Ping { nonce: 0, updates: vec![record] };
+            effects.push(Effect::Send { to, message });
+        }
+    }
+
+    fn relay_ping(
+        &mut self,
+        from: net::SocketAddr,
+        nonce: u64,
+        target: identity::HostId,
+        now_ms: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(to) = self.address_of(target) else { return };
+        let own = self.rng.random_range(1..u64::MAX);
+        self.relays.insert(own, Relay { nonce, from, sent_ms: now_ms });
+        let message = Message::Ping { nonce: own, updates: Vec::new() };
+        effects.push(Effect::Send { to, message });
+    }
+
+    fn suspect(&mut self, target: identity::HostId, now_ms: u64, effects: &mut Vec<Effect>) {
+        let Some(member) = self.members.get(&target) else { return };
+        if matches!(member.record.status, Status::Alive | Status::Leaving) {
+            let record = Record { status: Status::Suspect, ..member.record.clone() };
+            self.adopt(record, now_ms, effects);
+        }
+    }
+
+    fn expire_suspects(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        let limit_ms = self.suspicion_ms();
+        let expired: Vec<Record> = self
+            .members
+            .values()
+            .filter(|m| m.record.status == Status::Suspect && now_ms >= m.since_ms + limit_ms)
+            .map(|m| Record { status: Status::Dead, ..m.record.clone() })
+            .collect();
+        for record in expired {
+            self.adopt(record, now_ms, effects);
+        }
+        self.members
+            .retain(|_, m| m.record.status != Status::Dead || now_ms < m.since_ms + FORGET_MS);
+    }
+
+    fn rejoin(&mut self, effects: &mut Vec<Effect>) {
+        let mut unreached = self.seeds.clone();
+        let mut dead = collections::BTreeSet::new();
+        for member in self.members.values() {
+            let address = member.record.info.peer_address;
+            if member.record.status == Status::Dead {
+                dead.insert(address);
+            } else {
+                unreached.remove(&address);
+            }
+        }
+        dead.extend(unreached);
+        let addresses: Vec<_> = dead.into_iter().sample(&mut self.rng, 2);
+        self.send_sync(&addresses, effects);
+    }
+
+    fn send_sync(&self, peers: &[net::SocketAddr], effects: &mut Vec<Effect>) {
+        for to in peers {
+            let message = Message::Sync { records: self.records(), wants_reply: true };
+            effects.push(Effect::Send { to: *to, message });
+        }
+    }
+
+    fn merge(&mut self, records: Vec<Record>, now_ms: u64, effects: &mut Vec<Effect>) {
+        for record in records {
+            if record.info.id == self.me {
+                self.refute(&record, now_ms);
+            } else if self.outranks(&record) {
+                self.adopt(record, now_ms, effects);
+            }
+        }
+    }
+
+    fn refute(&mut self, record: &Record, now_ms: u64) {
+        let Some(me) = self.members.get(&self.me) else { return };
+        let is_doubted = matches!(record.status, Status::Suspect | Status::Dead);
+        if is_doubted && record.incarnation >= me.record.incarnation {
+            let leaving = me.record.leaving;
+            if let Some(me) = self.members.get_mut(&self.me) {
+                me.record.incarnation = record.incarnation;
+            }
+            self.restate_me(leaving, now_ms);
+        }
+    }
+
+    fn restate_me(&mut self, leaving: bool, now_ms: u64) {
+        if let Some(me) = self.members.get_mut(&self.me) {
+            me.record.incarnation += 1;
+            me.record.leaving = leaving;
+            me.record.status = if leaving { Status::Leaving } else { Status::Alive };
+            me.since_ms = now_ms.max(me.since_ms);
+        }
+        self.rumours.insert(self.me, 0);
+    }
+
+    fn outranks(&self, record: &Record) -> bool {
+        let Some(known) = self.members.get(&record.info.id) else { return true };
+        let rank = |record: &Record| (record.incarnation, record.status);
+        rank(record).cmp(&rank(&known.record)) == cmp::Ordering::Greater
+    }
+
+    fn adopt(&mut self, record: Record, now_ms: u64, effects: &mut Vec<Effect>) {
+        let host = record.info.id;
+        let status = record.status;
+        if status != Status::Dead {
+            self.retire_replaced(&record, now_ms, effects);
+        }
+        let known = self.members.get(&host).map(|member| member.record.status);
+        if known.is_none() && status == Status::Dead {
+            return;
+        }
+        self.members.insert(host, Member { record, since_ms: now_ms });
+        self.rumours.insert(host, 0);
+        if known != Some(status) {
+            effects.push(Effect::Changed { host, status });
+        }
+    }
+
+    /// A later start under the same address proves that the earlier run is over.
+    fn retire_replaced(&mut self, record: &Record, now_ms: u64, effects: &mut Vec<Effect>) {
+        let replaced: Vec<Record> = self
+            .members
+            .values()
+            .map(|member| &member.record)
+            .filter(|old| {
+                old.info.id != record.info.id
+                    && old.info.id != self.me
+                    && old.info.peer_address == record.info.peer_address
+                    && old.info.started_ms < record.info.started_ms
+                    && old.status != Status::Dead
+            })
+            .map(|old| Record { status: Status::Dead, ..old.clone() })
+            .collect();
+        for old in replaced {
+            self.adopt(old, now_ms, effects);
+        }
+    }
+
+    /// Takes the least-told rumours and counts them as told once more.
+    fn take_updates(&mut self) -> Vec<Record> {
+        let tellings_max = 3 * ((self.members.len() + 1).ilog2() + 1);
+        let mut told: Vec<(u32, identity::HostId)> =
+            self.rumours.iter().map(|(host, count)| (*count, *host)).collect();
+        told.sort_unstable();
+        told.truncate(UPDATES_MAX);
+        let mut updates = Vec::new();
+        for (count, host) in told {
+            if count + 1 >= tellings_max {
+                self.rumours.remove(&host);
+            } else {
+                self.rumours.insert(host, count + 1);
+            }
+            updates.extend(self.members.get(&host).map(|member| member.record.clone()));
+        }
+        updates
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/replica.rs
@@ -0,0 +1,406 @@
+//! A replicated value whose changes are accepted by the platform and spread by the hosts.
+//!
+//! Change `n` is the object `config/log/n`, created only if absent: that create is the
+//! one point at which a change is accepted, and the object is the audit entry as well.
+//! A host moves only from `n` to a higher revision, so nothing it has ever reverts.
+
+use std::collections;
+use std::net;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::parts;
+use crate::platform;
+
+/// Prefix of the objects that hold the changes.
+pub const LOG_PREFIX: &str = "config/log/";
+/// Key of the object that holds a whole value of some revision.
+pub const SNAPSHOT_KEY: &str = "config/snapshot";
+/// Longest wait of a watch, in milliseconds.
+pub const WATCH_WAIT_MS: u64 = 2_000;
+/// Hosts that a new change is pushed to at once by each host that learns it.
+pub const FANOUT: usize = 4;
+/// Peers whose word a starting host takes while the platform is away.
+pub const PEERS_TO_START: usize = 3;
+/// Changes kept to bring others up to date.
+const HISTORY_MAX: usize = 256;
+/// Most changes read by one call.
+const LIST_LIMIT: u32 = 256;
+/// First pause after a call without an answer, in milliseconds.
+const RETRY_MIN_MS: u64 = 200;
+/// Longest pause after a call without an answer, in milliseconds.
+const RETRY_MAX_MS: u64 = 3_000;
+
+/// An accepted change; stored as JSON, so that people can read the trail.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Change {
+    /// The revision that the change leads to; it starts from the one before.
+    pub revision: u64,
+    /// Who made it.
+    pub author: Arc<str>,
+    /// Why it was made.
+    pub reason: Arc<str>,
+    /// Wall-clock time in milliseconds since the epoch.
+    pub at_ms: u64,
+    /// Tells one's own write from another's.
+    pub nonce: u64,
+    /// What changed.
+    pub difference: parts::Difference,
+    /// Digest of the value after the change.
+    pub digest: u64,
+}
+
+/// The whole value at a revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The revision.
+    pub revision: u64,
+    /// The value.
+    pub parts: parts::Parts,
+}
+
+/// A message between hosts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Message {
+    /// Asks for what came after a revision.
+    Fetch {
+        /// The revision that the sender has.
+        have: u64,
+    },
+    /// Changes in order; empty if the receiver is up to date.
+    Changes(Vec<Change>),
+    /// The whole value, where the changes no longer reach back.
+    Snapshot(Snapshot),
+}
+
+/// What the caller of [`Replica`] is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Send a message to one host.
+    Send {
+        /// Address of the host.
+        to: net::SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// Push a message to [`FANOUT`] hosts.
+    Spread(Message),
+    /// Ask the platform; the reply goes to [`Replica::reply`].
+    Call(platform::Call),
+    /// The platform confirmed the revision by a reply to a call made at this time.
+    Confirmed {
+        /// When the call was made, in milliseconds.
+        asked_ms: u64,
+    },
+    /// A later revision is in force here.
+    Advanced {
+        /// The revision.
+        revision: u64,
+    },
+    /// A change did not fit and was set aside; the whole value is fetched instead.
+    Mismatch {
+        /// The revision of the change.
+        revision: u64,
+    },
+}
+
+/// How a host follows the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Duty {
+    /// It watches on behalf of its data centre.
+    Watch,
+    /// It hears from peers and asks only when they are silent.
+    Listen,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Snapshot,
+    Log,
+    Settled,
+}
+
+#[derive(Debug)]
+struct Asked {
+    at_ms: u64,
+    kind: AskedKind,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AskedKind {
+    Snapshot,
+    Log,
+    Watch,
+}
+
+/// The value as this host has it.
+#[derive(Debug)]
+pub struct Replica {
+    snapshot: Snapshot,
+    digest: u64,
+    history: collections::VecDeque<Change>,
+    stage: Stage,
+    store_version: platform::Version,
+    asked: Option<Asked>,
+    next_ask_ms: u64,
+    retry_ms: u64,
+    answered: collections::BTreeSet<net::SocketAddr>,
+    is_ready: bool,
+}
+
+impl Replica {
+    /// Starts without a value.
+    #[must_use]
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            snapshot: Snapshot::default(),
+            digest: parts::Parts::default().digest(),
+            history: collections::VecDeque::new(),
+            stage: Stage::Snapshot,
+            store_version: 0,
+            asked: None,
+            next_ask_ms: now_ms,
+            retry_ms: RETRY_MIN_MS,
+            answered: collections::BTreeSet::new(),
+            is_ready: false,
+        }
+    }
+
+    /// The revision in force here.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.snapshot.revision
+    }
+
+    /// The value in force here.
+    #[must_use]
+    pub fn parts(&self) -> &parts::Parts {
+        &self.snapshot.parts
+    }
+
+    /// Digest of the value in force here.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Whether the platform or enough peers have told what is in force.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_ready
+    }
+
+    /// Moves time on; `silence_ms` is the age of the last confirmation, if there was one.
+    pub fn tick(&mut self, duty: Duty, silence_ms: Option<u64>, now_ms: u64) -> Vec<Effect> {
+        if self.asked.is_some() || now_ms < self.next_ask_ms {
+            return Vec::new();
+        }
+        let is_silent = silence_ms.is_none_or(|age_ms| age_ms > crate::freshness::FRESH_MS / 2);
+        let kind = match (self.stage, duty) {
+            (Stage::Snapshot, _) => AskedKind::Snapshot,
+            (Stage::Log, _) => AskedKind::Log,
+            (Stage::Settled, Duty::Watch) => AskedKind::Watch,
+            (Stage::Settled, Duty::Listen) if is_silent => AskedKind::Log,
+            (Stage::Settled, Duty::Listen) => return Vec::new(),
+        };
+        self.asked = Some(Asked { at_ms: now_ms, kind });
+        vec![Effect::Call(self.call(kind))]
+    }
+
+    /// Takes the platform's reply to the call in flight.
+    pub fn reply(&mut self, reply: platform::Reply, now_ms: u64) -> Vec<Effect> {
+        let Some(asked) = self.asked.take() else { return Vec::new() };
+        match (asked.kind, reply) {
+            (AskedKind::Snapshot, platform::Reply::Found(object)) => {
+                self.stage = Stage::Log;
+                match parse_snapshot(&object.value) {
+                    Some(snapshot) => self.take_snapshot(snapshot),
+                    None => vec![Effect::Mismatch { revision: 0 }],
+                }
+            }
+            (AskedKind::Snapshot, platform::Reply::Absent) => {
+                self.stage = Stage::Log;
+                Vec::new()
+            }
+            (AskedKind::Log | AskedKind::Watch, platform::Reply::Listing { objects, version }) => {
+                self.retry_ms = RETRY_MIN_MS;
+                self.take_listing(&objects, version, asked.at_ms, now_ms)
+            }
+            _ => {
+                self.next_ask_ms = now_ms + self.retry_ms;
+                self.retry_ms = (self.retry_ms * 2).min(RETRY_MAX_MS);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Takes a message from the host at `from`; `others` counts the other live members.
+    pub fn receive(
+        &mut self,
+        from: net::SocketAddr,
+        message: Message,
+        others: usize,
+    ) -> Vec<Effect> {
+        match message {
+            Message::Fetch { have } => {
+                vec![Effect::Send { to: from, message: self.answer_to(have) }]
+            }
+            Message::Changes(changes) => {
+                self.note_answer(from, others);
+                let effects = self.take_changes(changes);
+                self.fetch_after_mismatch(from, effects)
+            }
+            Message::Snapshot(snapshot) => {
+                self.note_answer(from, others);
+                self.take_snapshot(snapshot)
+            }
+        }
+    }
+
+    /// Asks the host at `from` if it said that it has a later revision, or this host is starting.
+    #[must_use]
+    pub fn hear_revision(&self, from: net::SocketAddr, revision: u64) -> Vec<Effect> {
+        let is_behind = revision > self.snapshot.revision;
+        let is_starting = !self.is_ready && !self.answered.contains(&from);
+        if is_behind || is_starting {
+            let message = Message::Fetch { have: self.snapshot.revision };
+            return vec![Effect::Send { to: from, message }];
+        }
+        Vec::new()
+    }
+
+    fn call(&self, kind: AskedKind) -> platform::Call {
+        match kind {
+            AskedKind::Snapshot => platform::Call::Read { key: SNAPSHOT_KEY.to_owned() },
+            AskedKind::Log => platform::Call::List {
+                prefix: LOG_PREFIX.to_owned(),
+                after: log_key(self.snapshot.revision),
+                limit: LIST_LIMIT,
+            },
+            AskedKind::Watch => platform::Call::Watch {
+                prefix: LOG_PREFIX.to_owned(),
+                after: self.store_version,
+                wait_ms: WATCH_WAIT_MS,
+            },
+        }
+    }
+
+    fn take_listing(
+        &mut self,
+        objects: &[platform::Object],
+        version: platform::Version,
+        asked_ms: u64,
+        now_ms: u64,
+    ) -> Vec<Effect> {
+        let changes: Vec<Change> =
+            objects.iter().filter_map(|object| serde_json::from_slice(&object.value).ok()).collect();
+        let is_whole = changes.len() == objects.len();
+        let mut effects = self.take_changes(changes);
+        let has_mismatch = effects.iter().any(|e| matches!(e, Effect::Mismatch { .. }));
+        if has_mismatch || !is_whole {
+            self.stage = Stage::Snapshot;
+            self.next_ask_ms = now_ms + self.retry_ms;
+            return effects;
+        }
+        if objects.len() < LIST_LIMIT as usize {
+            self.stage = Stage::Settled;
+            self.store_version = version;
+            self.is_ready = true;
+            effects.push(Effect::Confirmed { asked_ms });
+        }
+        effects
+    }
+
+    fn take_changes(&mut self, changes: Vec<Change>) -> Vec<Effect> {
+        let mut taken = Vec::new();
+        for change in changes {
+            if change.revision <= self.snapshot.revision {
+                continue;
+            }
+            if !self.apply(&change) {
+                return vec![Effect::Mismatch { revision: change.revision }];
+            }
+            taken.push(change);
+        }
+        if taken.is_empty() {
+            return Vec::new();
+        }
+        vec![
+            Effect::Advanced { revision: self.snapshot.revision },
+            Effect::Spread(Message::Changes(taken)),
+        ]
+    }
+
+    /// Applies the next change; returns false if it is not the next or its digest differs.
+    fn apply(&mut self, change: &Change) -> bool {
+        if change.revision != self.snapshot.revision + 1 {
+            return false;
+        }
+        let mut parts = self.snapshot.parts.clone();
+        parts.apply(&change.difference);
+        if parts.digest() != change.digest {
+            return false;
+        }
+        self.snapshot = Snapshot { revision: change.revision, parts };
+        self.digest = change.digest;
+        self.history.push_back(change.clone());
+        if self.history.len() > HISTORY_MAX {
+            self.history.pop_front();
+        }
+        true
+    }
+
+    fn take_snapshot(&mut self, snapshot: Snapshot) -> Vec<Effect> {
+        if snapshot.revision <= self.snapshot.revision {
+            return Vec::new();
+        }
+        self.digest = snapshot.parts.digest();
+        self.history.clear();
+        let revision = snapshot.revision;
+        self.snapshot = snapshot;
+        vec![Effect::Advanced { revision }]
+    }
+
+    fn answer_to(&self, have: u64) -> Message {
+        if have >= self.snapshot.revision {
+            return Message::Changes(Vec::new());
+        }
+        let reaches_back = self.history.front().is_some_and(|first| first.revision <= have + 1);
+        if reaches_back {
+            let later = self.history.iter().filter(|change| change.revision > have);
+            return Message::Changes(later.cloned().collect());
+        }
+        Message::Snapshot(self.snapshot.clone())
+    }
+
+    fn fetch_after_mismatch(&self, from: net::SocketAddr, effects: Vec<Effect>) -> Vec<Effect> {
+        let mut effects = effects;
+        if effects.iter().any(|effect| matches!(effect, Effect::Mismatch { .. })) {
+            let message = Message::Fetch { have: self.snapshot.revision };
+            effects.push(Effect::Send { to: from, message });
+        }
+        effects
+    }
+
+    fn note_answer(&mut self, from: net::SocketAddr, others: usize) {
+        self.answered.insert(from);
+        if self.answered.len() >= PEERS_TO_START.min(others.max(1)) {
+            self.is_ready = true;
+        }
+    }
+}
+
+/// Key of the object that holds a change.
+#[must_use]
+pub fn log_key(revision: u64) -> String {
+    format!("{LOG_PREFIX}{revision:016}")
+}
+
+fn parse_snapshot(value: &[u8]) -> Option<Snapshot> {
+    serde_json::from_slice(value).ok()
+}
--- /dev/null
+++ b/crates/document/src/settings.rs
@@ -0,0 +1,142 @@
+//! The settings of one host.
+
+use std::net;
+use std::sync::Arc;
+
+use crate::fields;
+use crate::finding;
+use crate::name;
+use crate::node;
+
+/// Settings of an entry host, read once at the start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Data centre in which the host stands.
+    pub data_centre: name::Name,
+    /// Region of the data centre.
+    pub region: name::Name,
+    /// Where callers connect.
+    pub caller_address: net::SocketAddr,
+    /// Where the other hosts connect.
+    pub peer_address: net::SocketAddr,
+    /// Where operators read health, status and metrics.
+    pub admin_address: net::SocketAddr,
+    /// The platform's object API.
+    pub platform_address: net::SocketAddr,
+    /// The rating service, if there is one.
+    pub rating_address: Option<net::SocketAddr>,
+    /// Peers to start from.
+    pub peers: Vec<net::SocketAddr>,
+    /// File that holds the keys between hosts, one `id:secret` a line, the first one in use.
+    pub key_file: Arc<str>,
+    /// How long callers may keep an address answer, in milliseconds.
+    pub address_ttl_ms: u64,
+    /// How long a graceful shutdown may last, in milliseconds.
+    pub shutdown_ms: u64,
+    /// Shards of the ledger; the same on all hosts.
+    pub ledger_shards: u64,
+    /// Threads that move traffic.
+    pub traffic_threads: u64,
+}
+
+impl TryFrom<&node::Node> for Settings {
+    type Error = finding::Findings;
+
+    fn try_from(root: &node::Node) -> Result<Self, Self::Error> {
+        let mut findings = finding::Findings::new("settings");
+        let settings = read(root, &mut findings);
+        if findings.is_empty() { Ok(settings) } else { Err(findings) }
+    }
+}
+
+/// Checks the text of a settings file called `source`.
+///
+/// # Errors
+/// Every finding of the text.
+pub fn check(source: &str, text: &str) -> Result<Settings, finding::Findings> {
+    let root = node::Node::parse(source, text)?;
+    Settings::try_from(&root).map_err(|mut findings| {
+        source.clone_into(&mut findings.source);
+        findings
+    })
+}
+
+fn read(root: &node::Node, findings: &mut finding::Findings) -> Settings {
+    let mut fields = fields::Fields::open(root, "", findings);
+    let settings = Settings {
+        data_centre: read_name(&mut fields, "data_centre", findings),
+        region: read_name(&mut fields, "region", findings),
+        caller_address: read_address(&mut fields, "caller_address", findings),
+        peer_address: read_address(&mut fields, "peer_address", findings),
+        admin_address: read_address(&mut fields, "admin_address", findings),
+        platform_address: read_address(&mut fields, "platform_address", findings),
+        rating_address: read_optional_address(&mut fields, "rating_address", findings),
+        peers: read_addresses(&mut fields, "peers", findings),
+        key_file: fields.text("key_file", findings),
+        address_ttl_ms: fields.integer("address_ttl_ms", 100..=3_600_000, Some(5_000), findings),
+        shutdown_ms: fields.integer("shutdown_ms", 100..=3_600_000, Some(120_000), findings),
+        ledger_shards: fields.integer("ledger_shards", 1..=4_096, Some(8), findings),
+        traffic_threads: fields.integer("traffic_threads", 1..=256, Some(2), findings),
+    };
+    fields.finish(findings);
+    settings
+}
+
+fn read_name(
+    fields: &mut fields::Fields<'_>,
+    field: &'static str,
+    findings: &mut finding::Findings,
+) -> name::Name {
+    let place = fields.place();
+    let text = fields.text(field, findings);
+    name::Name::try_from(text).unwrap_or_else(|error| {
+        findings.add(place, field, &error.to_string());
+        name::Name::try_from("unnamed").expect("the placeholder is a name")
+    })
+}
+
+fn read_address(
+    fields: &mut fields::Fields<'_>,
+    field: &'static str,
+    findings: &mut finding::Findings,
+) -> net::SocketAddr {
+    match fields.required(field, findings) {
+        Some(node) => address(node, field, findings),
+        None => unspecified(),
+    }
+}
+
+fn read_optional_address(
+    fields: &mut fields::Fields<'_>,
+    field: &'static str,
+    findings: &mut finding::Findings,
+) -> Option<net::SocketAddr> {
+    fields.optional(field).map(|node| address(node, field, findings))
+}
+
+fn read_addresses(
+    fields: &mut fields::Fields<'_>,
+    field: &'static str,
+    findings: &mut finding::Findings,
+) -> Vec<net::SocketAddr> {
+    let items = fields.list(field, findings);
+    items.iter().map(|node| address(node, field, findings)).collect()
+}
+
+fn address(
+    node: &node::Node,
+    path: &str,
+    findings: &mut finding::Findings,
+) -> net::SocketAddr {
+    let text = fields::text(node, path, findings);
+    text.parse().unwrap_or_else(|_| {
+        let problem = format!("`{text}` is not an address");
+        let hint = "write an IP number and a port, such as 10.0.0.5:7400";
+        findings.add_with_hint(node.place, path, &problem, hint);
+        unspecified()
+    })
+}
+
+fn unspecified() -> net::SocketAddr {
+    net::SocketAddr::from((net::Ipv4Addr::UNSPECIFIED, 0))
+}
--- /dev/null
+++ b/crates/document/src/slips.rs
@@ -0,0 +1,192 @@
+//! Slips that single fields do not show: unknown names, shares and dead ends.
+
+use std::collections;
+
+use crate::document;
+use crate::finding;
+use crate::name;
+use crate::node;
+
+/// Adds a finding for each slip of a document that was read from `root`.
+pub fn find_slips(
+    document: &document::Document,
+    root: &node::Node,
+    findings: &mut finding::Findings,
+) {
+    let mut slips = Slips { document, root, findings };
+    for (name, model) in &document.models {
+        slips.check_model(name, model);
+    }
+    for (name, cascade) in &document.cascades {
+        slips.check_cascade(name, cascade);
+    }
+    for (name, service) in &document.services {
+        let path = format!("services.{name}.pool");
+        slips.check_known(&path, "pool", &service.pool, &document.pools);
+    }
+    for (name, organisation) in &document.organisations {
+        slips.check_organisation(name, organisation);
+    }
+    slips.check_keys();
+}
+
+struct Slips<'a> {
+    document: &'a document::Document,
+    root: &'a node::Node,
+    findings: &'a mut finding::Findings,
+}
+
+impl Slips<'_> {
+    fn add(&mut self, path: &str, problem: &str, hint: &str) {
+        self.findings.add_with_hint(place_of(self.root, path), path, problem, hint);
+    }
+
+    fn check_known<T>(
+        &mut self,
+        path: &str,
+        kind: &str,
+        name: &name::Name,
+        known: &collections::BTreeMap<name::Name, T>,
+    ) {
+        if !known.contains_key(name) && name.as_str() != "unnamed" {
+            let hint = finding::nearest_hint(name.as_str(), known.keys().map(name::Name::as_str));
+            self.add(path, &format!("there is no {kind} `{name}`"), &hint);
+        }
+    }
+
+    fn check_model(&mut self, name: &name::Name, model: &document::Model) {
+        let path = format!("models.{name}");
+        self.check_known(&format!("{path}.pool"), "pool", &model.pool, &self.document.pools);
+        for (version, entry) in &model.versions {
+            if entry.withdrawn && entry.share_percent > 0 {
+                let path = format!("{path}.versions.{version}");
+                let problem = format!("withdrawn, yet it has {} % of sessions", entry.share_percent);
+                self.add(&path, &problem, "set its share to 0 and raise another version's");
+            }
+        }
+        if model.versions.is_empty() {
+            self.add(&path, "the model has no version", "add one under `versions`");
+        }
+        let sum: u64 = model.serving().map(|(_, version)| version.share_percent).sum();
+        if model.serving().next().is_some() && sum != 100 {
+            let problem = format!("the shares of its versions add up to {sum} %, not 100 %");
+            self.add(&format!("{path}.versions"), &problem, "withdrawn versions do not count");
+        }
+    }
+
+    fn check_cascade(&mut self, name: &name::Name, cascade: &document::Cascade) {
+        let path = format!("cascades.{name}.stages");
+        if cascade.stages.is_empty() {
+            self.add(&path, "the cascade has no stage", "list models from cheap to strong");
+        }
+        for stage in &cascade.stages {
+            self.check_known(&path, "model", stage, &self.document.models);
+        }
+        let costs: Vec<u64> = cascade
+            .stages
+            .iter()
+            .filter_map(|stage| self.document.models.get(stage))
+            .map(|model| model.cost_microcents_per_kilotoken)
+            .collect();
+        if !costs.is_sorted() {
+            self.add(&path, "a stage costs more than a later one", "order stages by price");
+        }
+        let distinct: collections::BTreeSet<_> = cascade.stages.iter().collect();
+        if distinct.len() < cascade.stages.len() {
+            self.add(&path, "a model stands twice in the cascade", "name each model once");
+        }
+    }
+
+    fn check_organisation(&mut self, name: &name::Name, organisation: &document::Organisation) {
+        let path = format!("organisations.{name}");
+        for model in &organisation.models {
+            self.check_known(&format!("{path}.models"), "model", model, &self.document.models);
+            self.check_usable(&path, organisation, model);
+        }
+        for (model, versions) in &organisation.versions {
+            self.check_held_versions(&path, organisation, model, versions);
+        }
+        for cascade in &organisation.cascades {
+            let path = format!("{path}.cascades");
+            self.check_known(&path, "cascade", cascade, &self.document.cascades);
+            self.check_cascade_usable(&path, organisation, cascade);
+        }
+        for service in &organisation.services {
+            let path = format!("{path}.services");
+            self.check_known(&path, "service", service, &self.document.services);
+        }
+    }
+
+    fn check_held_versions(
+        &mut self,
+        path: &str,
+        organisation: &document::Organisation,
+        model: &name::Name,
+        versions: &collections::BTreeSet<name::Name>,
+    ) {
+        let path = format!("{path}.versions.{model}");
+        if !organisation.models.contains(model) {
+            self.add(&path, "the organisation may not use this model", "add it to `models`");
+        }
+        if let Some(entry) = self.document.models.get(model) {
+            for version in versions {
+                self.check_known(&path, "version", version, &entry.versions);
+            }
+        }
+    }
+
+    fn check_usable(
+        &mut self,
+        path: &str,
+        organisation: &document::Organisation,
+        model: &name::Name,
+    ) {
+        let Some(entry) = self.document.models.get(model) else { return };
+        if !entry.serving().any(|(version, _)| organisation.allows(model, version)) {
+            let problem = format!("no version of `{model}` is left that it may use");
+            let hint = "keep one version serving or take the model from the organisation first";
+            self.add(&format!("{path}.models"), &problem, hint);
+        }
+    }
+
+    fn check_cascade_usable(
+        &mut self,
+        path: &str,
+        organisation: &document::Organisation,
+        cascade: &name::Name,
+    ) {
+        let Some(entry) = self.document.cascades.get(cascade) else { return };
+        if !entry.stages.iter().any(|stage| organisation.models.contains(stage)) {
+            let problem = format!("the cascade `{cascade}` has no stage that it may use");
+            self.add(path, &problem, "add one of the cascade's models to its `models`");
+        }
+    }
+
+    fn check_keys(&mut self) {
+        let mut owners = collections::BTreeMap::new();
+        for (name, organisation) in &self.document.organisations {
+            if let Some(other) = owners.insert(&organisation.key_sha256, name) {
+                let path = format!("organisations.{name}.key_sha256");
+                let problem = format!("the organisation `{other}` has the same key");
+                self.add(&path, &problem, "give each organisation a key of its own");
+            }
+        }
+    }
+}
+
+/// Finds the deepest node on a dotted path; names may hold dots themselves.
+fn place_of(root: &node::Node, path: &str) -> finding::Place {
+    let mut place = root.place;
+    let mut node = root;
+    let mut rest = path;
+    while let node::Value::Map(entries) = &node.value {
+        let next = entries.iter().find(|entry| {
+            rest.strip_prefix(&*entry.key).is_some_and(|r| r.is_empty() || r.starts_with('.'))
+        });
+        let Some(entry) = next else { break };
+        place = entry.place;
+        node = &entry.node;
+        rest = rest[entry.key.len()..].trim_start_matches('.');
+    }
+    place
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
