--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod membership;
 pub mod parts;
 pub mod platform;
+pub mod registry;
 pub mod rendezvous;
 pub mod replica;
--- /dev/null
+++ b/crates/coordination/src/registry.rs
@@ -0,0 +1,236 @@
+//! Status objects of the platform, copied to every host.
+//!
+//! Each object carries the platform's version of it, and a host takes only a higher one,
+//! so copies agree however messages cross. A few watchers in each data centre ask the
+//! platform; the others hear from peers.
+
+use std::collections;
+use std::net;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::platform;
+use crate::replica;
+
+/// Prefix of the objects.
+pub const PREFIX: &str = "status/";
+/// Most objects read by one call.
+const LIST_LIMIT: u32 = 500;
+/// First pause after a call without an answer, in milliseconds.
+const RETRY_MIN_MS: u64 = 200;
+/// Longest pause after a call without an answer, in milliseconds.
+const RETRY_MAX_MS: u64 = 3_000;
+
+/// How far a host's copy reaches; hosts compare it to find that they differ.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Position {
+    /// Highest version of an object.
+    pub version: platform::Version,
+    /// Order-free digest of all keys and versions.
+    pub digest: u64,
+}
+
+/// A message between hosts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Message {
+    /// Asks for objects with a higher version than this.
+    Fetch {
+        /// The version; zero asks for all.
+        after: platform::Version,
+    },
+    /// Objects.
+    Objects(Vec<platform::Object>),
+}
+
+/// What the caller of [`Registry`] is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Send a message to one host.
+    Send {
+        /// Address of the host.
+        to: net::SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// Push a message to a few hosts.
+    Spread(Message),
+    /// Ask the platform; the reply goes to [`Registry::reply`].
+    Call(platform::Call),
+    /// Objects changed.
+    Changed(Vec<platform::Object>),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Stage {
+    List { after: String },
+    Watch,
+}
+
+/// The status objects as this host has them.
+#[derive(Debug)]
+pub struct Registry {
+    objects: collections::BTreeMap<Arc<str>, platform::Object>,
+    position: Position,
+    stage: Stage,
+    listed_version: platform::Version,
+    is_asked: bool,
+    next_ask_ms: u64,
+    retry_ms: u64,
+    fetched_whole_ms: u64,
+}
+
+impl Registry {
+    /// Starts empty.
+    #[must_use]
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            objects: collections::BTreeMap::new(),
+            position: Position::default(),
+            stage: Stage::List { after: String::new() },
+            listed_version: 0,
+            is_asked: false,
+            next_ask_ms: now_ms,
+            retry_ms: RETRY_MIN_MS,
+            fetched_whole_ms: 0,
+        }
+    }
+
+    /// How far this copy reaches.
+    #[must_use]
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// The objects under a prefix.
+    pub fn under<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a platform::Object> {
+        self.objects
+            .range(Arc::<str>::from(prefix)..)
+            .take_while(move |(key, _)| key.starts_with(prefix))
+            .map(|(_, object)| object)
+    }
+
+    /// Moves time on.
+    pub fn tick(&mut self, duty: replica::Duty, now_ms: u64) -> Vec<Effect> {
+        let is_listening = self.stage == Stage::Watch && duty == replica::Duty::Listen;
+        if self.is_asked || now_ms < self.next_ask_ms || is_listening {
+            return Vec::new();
+        }
+        self.is_asked = true;
+        vec![Effect::Call(self.call())]
+    }
+
+    /// Takes the platform's reply to the call in flight.
+    pub fn reply(&mut self, reply: platform::Reply, now_ms: u64) -> Vec<Effect> {
+        self.is_asked = false;
+        let platform::Reply::Listing { objects, version } = reply else {
+            self.next_ask_ms = now_ms + self.retry_ms;
+            self.retry_ms = (self.retry_ms * 2).min(RETRY_MAX_MS);
+            return Vec::new();
+        };
+        self.retry_ms = RETRY_MIN_MS;
+        self.advance_stage(&objects, version);
+        let changed = self.take(objects);
+        if changed.is_empty() {
+            return Vec::new();
+        }
+        vec![Effect::Spread(Message::Objects(changed.clone())), Effect::Changed(changed)]
+    }
+
+    /// Takes a message from the host at `from`.
+    pub fn receive(&mut self, from: net::SocketAddr, message: Message) -> Vec<Effect> {
+        match message {
+            Message::Fetch { after } => {
+                let objects =
+                    self.objects.values().filter(|o| o.version > after).cloned().collect();
+                vec![Effect::Send { to: from, message: Message::Objects(objects) }]
+            }
+            Message::Objects(objects) => {
+                let changed = self.take(objects);
+                if changed.is_empty() {
+                    return Vec::new();
+                }
+                vec![Effect::Spread(Message::Objects(changed.clone())), Effect::Changed(changed)]
+            }
+        }
+    }
+
+    /// Compares with a peer's position and fetches what this copy lacks.
+    pub fn hear_position(
+        &mut self,
+        from: net::SocketAddr,
+        position: Position,
+        now_ms: u64,
+    ) -> Vec<Effect> {
+        let after = if position.version > self.position.version {
+            self.position.version
+        } else if position.digest != self.position.digest
+            && position.version == self.position.version
+            && now_ms >= self.fetched_whole_ms + RETRY_MAX_MS
+        {
+            self.fetched_whole_ms = now_ms;
+            0
+        } else {
+            return Vec::new();
+        };
+        vec![Effect::Send { to: from, message: Message::Fetch { after } }]
+    }
+
+    fn call(&self) -> platform::Call {
+        match &self.stage {
+            Stage::List { after } => platform::Call::List {
+                prefix: PREFIX.to_owned(),
+                after: after.clone(),
+                limit: LIST_LIMIT,
+            },
+            Stage::Watch => platform::Call::Watch {
+                prefix: PREFIX.to_owned(),
+                after: self.listed_version,
+                wait_ms: replica::WATCH_WAIT_MS,
+            },
+        }
+    }
+
+    fn advance_stage(&mut self, objects: &[platform::Object], version: platform::Version) {
+        match &self.stage {
+            Stage::List { after } => {
+                // Changes made while pages are read show up in a watch from the first page on.
+                if after.is_empty() {
+                    self.listed_version = version;
+                }
+                self.stage = match objects.last() {
+                    Some(last) if objects.len() >= LIST_LIMIT as usize => {
+                        Stage::List { after: last.key.clone() }
+                    }
+                    _ => Stage::Watch,
+                };
+            }
+            Stage::Watch => self.listed_version = version,
+        }
+    }
+
+    fn take(&mut self, objects: Vec<platform::Object>) -> Vec<platform::Object> {
+        let mut changed = Vec::new();
+        for object in objects {
+            let known = self.objects.get(object.key.as_str()).map(|known| known.version);
+            if known.is_some_and(|version| version >= object.version) {
+                continue;
+            }
+            if let Some(version) = known {
+                self.position.digest ^= object_digest(&object.key, version);
+            }
+            self.position.digest ^= object_digest(&object.key, object.version);
+            self.position.version = self.position.version.max(object.version);
+            self.objects.insert(Arc::from(object.key.as_str()), object.clone());
+            changed.push(object);
+        }
+        changed
+    }
+}
+
+fn object_digest(key: &str, version: platform::Version) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(key.as_bytes(), version)
+}
--- /dev/null
+++ b/crates/core/src/envelope.rs
@@ -0,0 +1,146 @@
+//! Authentication of messages between hosts, with key ids so that keys can be changed.
+
+use std::fmt;
+use std::net;
+use std::sync::Arc;
+
+use hmac::KeyInit as _;
+use hmac::Mac as _;
+use serde::Deserialize;
+use serde::Serialize;
+use toucanwall_coordination::identity;
+
+use crate::message;
+
+/// Bytes of a message's authentication code.
+const CODE_BYTES: usize = 16;
+
+type Hmac = hmac::Hmac<sha2::Sha256>;
+
+/// Keys between hosts; the first one signs, all of them verify.
+#[derive(Clone)]
+pub struct Keys(Arc<Vec<Key>>);
+
+/// One key.
+#[derive(Clone)]
+struct Key {
+    id: u8,
+    secret: Arc<[u8]>,
+}
+
+/// Why keys cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("line {line}: expected `id:secret` with an id from 0 to 255 and a secret of 16 bytes or more")]
+pub struct KeysError {
+    line: usize,
+}
+
+/// Why a message was not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum EnvelopeError {
+    /// It is cut off or not a message.
+    #[error("the message is malformed")]
+    Malformed,
+    /// Its key is unknown or its code is wrong.
+    #[error("the message is not signed by a known key")]
+    Unauthentic,
+}
+
+/// A message whose sender is authentic.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Opened {
+    /// Who sent it.
+    pub sender: identity::HostId,
+    /// Where the sender listens.
+    pub from: net::SocketAddr,
+    /// The message.
+    pub message: message::Message,
+}
+
+impl TryFrom<&str> for Keys {
+    type Error = KeysError;
+
+    fn try_from(text: &str) -> Result<Self, Self::Error> {
+        let mut keys = Vec::new();
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let error = KeysError { line: index + 1 };
+            let (id, secret) = line.split_once(':').ok_or_else(|| error.clone())?;
+            let id = id.parse().map_err(|_| error.clone())?;
+            if secret.len() < 16 {
+                return Err(error);
+            }
+            keys.push(Key { id, secret: secret.as_bytes().into() });
+        }
+        if keys.is_empty() { Err(KeysError { line: 1 }) } else { Ok(Self(Arc::new(keys))) }
+    }
+}
+
+impl fmt::Debug for Keys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ids: Vec<u8> = self.0.iter().map(|key| key.id).collect();
+        f.debug_struct("Keys").field("ids", &ids).finish_non_exhaustive()
+    }
+}
+
+impl Keys {
+    /// Signs bytes with the first key and a context that keeps uses apart.
+    #[must_use]
+    pub fn sign(&self, context: &str, bytes: &[u8]) -> Vec<u8> {
+        let key = &self.0[0];
+        let mut signed = vec![key.id];
+        signed.extend_from_slice(&code(key, context, bytes));
+        signed.extend_from_slice(bytes);
+        signed
+    }
+
+    /// Checks signed bytes; returns the bytes that were signed.
+    ///
+    /// # Errors
+    /// [`EnvelopeError`] if they are cut off or no known key signed them.
+    pub fn verify<'a>(&self, context: &str, signed: &'a [u8]) -> Result<&'a [u8], EnvelopeError> {
+        let (id, rest) = signed.split_first().ok_or(EnvelopeError::Malformed)?;
+        let (given, bytes) = rest.split_at_checked(CODE_BYTES).ok_or(EnvelopeError::Malformed)?;
+        let key = self.0.iter().find(|key| key.id == *id).ok_or(EnvelopeError::Unauthentic)?;
+        mac(key, context, bytes)
+            .verify_truncated_left(given)
+            .map_err(|_| EnvelopeError::Unauthentic)?;
+        Ok(bytes)
+    }
+}
+
+/// Packs and signs a message.
+#[must_use]
+pub fn seal(keys: &Keys, opened: &Opened) -> Vec<u8> {
+    keys.sign("peer", &postcard::to_stdvec(opened).unwrap_or_default())
+}
+
+/// Checks and unpacks a message.
+///
+/// # Errors
+/// [`EnvelopeError`] if it is cut off or no known key signed it.
+pub fn open(keys: &Keys, bytes: &[u8]) -> Result<Opened, EnvelopeError> {
+    let bytes = keys.verify("peer", bytes)?;
+    postcard::from_bytes(bytes).map_err(|_| EnvelopeError::Malformed)
+}
+
+fn code(key: &Key, context: &str, bytes: &[u8]) -> [u8; CODE_BYTES] {
+    let full = mac(key, context, bytes).finalize().into_bytes();
+    let mut code = [0; CODE_BYTES];
+    code.copy_from_slice(&full[..CODE_BYTES]);
+    code
+}
+
+fn mac(key: &Key, context: &str, bytes: &[u8]) -> Hmac {
+    let mut mac = Hmac::new_from_slice(&key.secret).expect("HMAC takes keys of any length");
+    mac.update(context.as_bytes());
+    mac.update(&[0]);
+    mac.update(bytes);
+    mac
+}
--- /dev/null
+++ b/crates/core/src/host/ledger.rs
@@ -0,0 +1,207 @@
+//! This host's part in the ledger: owner of shards, submitter of entries, keeper of backups.
+
+use std::net;
+
+use toucanwall_coordination::identity;
+use toucanwall_coordination::ledger::entry;
+use toucanwall_coordination::ledger::journal;
+use toucanwall_coordination::ledger::message as ledger_message;
+use toucanwall_coordination::ledger::owner;
+use toucanwall_coordination::platform;
+use toucanwall_coordination::rendezvous;
+
+use crate::action;
+use crate::counter;
+use crate::message;
+
+use super::Host;
+
+/// Shortest time between two messages of notes or bills, in milliseconds.
+const FLUSH_MS: u64 = 5;
+/// Mixed into shard numbers, so that shards rank hosts otherwise than other keys do.
+const SHARD_KEY: u64 = 0x73_68_61_72_64_00_00_00;
+
+impl Host {
+    /// Names the owner of each shard and this host's backup, once the members have changed.
+    pub(super) fn update_ownership(&mut self) {
+        if !std::mem::take(&mut self.is_membership_changed) {
+            return;
+        }
+        let me = self.id();
+        let eligible: Vec<identity::HostId> = self.membership.eligible_ids().collect();
+        self.shard_owners = (0..self.config.ledger_shards)
+            .map(|shard| rendezvous::first(SHARD_KEY | u64::from(shard), eligible.iter().copied()))
+            .collect();
+        for (owner, wanted) in self.owners.iter_mut().zip(&self.shard_owners) {
+            owner.set_wanted(*wanted == Some(me));
+        }
+        self.notes.set_backup(self.choose_backup());
+    }
+
+    pub(super) fn tick_ledger(&mut self) {
+        let now = self.now;
+        for shard in 0..self.owners.len() {
+            let effects = self.owners[shard].tick(now.mono_ms, now.wall_s);
+            self.apply_owner(shard, effects);
+        }
+        for bill in self.vault.orphans(now.mono_ms) {
+            self.counters.add(counter::Counter::OrphansBilled);
+            let shard = journal::shard_of_bills(bill.id.host, self.config.ledger_shards);
+            self.journal.submit(shard, entry::Entry::Bill(bill));
+        }
+        self.flush_journal();
+    }
+
+    /// Sends what is due to the owners of its shards.
+    pub(super) fn flush_journal(&mut self) {
+        let me = self.id();
+        for outgoing in self.journal.due(self.now.mono_ms) {
+            let shard = outgoing.shard as usize;
+            let Some(owner) = self.shard_owners.get(shard).copied().flatten() else { continue };
+            if owner == me {
+                let effects = self.owners[shard].submit(me, outgoing.submissions);
+                self.apply_owner(shard, effects);
+            } else if let Some(to) = self.membership.address_of(owner) {
+                self.send_ledger(to, ledger_message::Message::Submit {
+                    shard: outgoing.shard,
+                    submissions: outgoing.submissions,
+                });
+            }
+        }
+    }
+
+    /// Sends the notes that are due to the backup.
+    pub(super) fn flush_notes(&mut self) {
+        if self.now.mono_ms < self.next_flush_ms {
+            return;
+        }
+        let Some((backup, notes)) = self.notes.due(self.now.mono_ms) else { return };
+        self.next_flush_ms = self.now.mono_ms + FLUSH_MS;
+        if let Some(to) = self.membership.address_of(backup) {
+            self.send_ledger(to, notes);
+        }
+    }
+
+    pub(super) fn on_ledger(
+        &mut self,
+        from: net::SocketAddr,
+        sender: identity::HostId,
+        message: ledger_message::Message,
+    ) {
+        match message {
+            ledger_message::Message::Submit { shard, submissions } => {
+                self.on_submit(shard, sender, submissions);
+            }
+            ledger_message::Message::Verdicts(decided) => self.on_verdicts(decided),
+            ledger_message::Message::Notes { sequence, notes } => {
+                if self.vault.keep(sender, notes) {
+                    self.send_ledger(from, ledger_message::Message::NotesKept { sequence });
+                }
+            }
+            ledger_message::Message::NotesKept { sequence } => {
+                let kept = self.notes.kept(sender, sequence);
+                if !kept.is_empty() {
+                    self.finish_kept();
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_shard_reply(&mut self, shard: u32, reply: platform::Reply) {
+        let now_ms = self.now.mono_ms;
+        let Some(owner) = self.owners.get_mut(shard as usize) else { return };
+        let effects = owner.reply(reply, now_ms);
+        self.apply_owner(shard as usize, effects);
+        self.tick_shard(shard as usize);
+    }
+
+    pub(super) fn submit_bill(&mut self, bill: entry::Bill) {
+        let shard = journal::shard_of_bills(bill.id.host, self.config.ledger_shards);
+        self.journal.submit(shard, entry::Entry::Bill(bill));
+    }
+
+    fn on_submit(
+        &mut self,
+        shard: u32,
+        sender: identity::HostId,
+        submissions: Vec<ledger_message::Submission>,
+    ) {
+        let Some(owner) = self.owners.get_mut(shard as usize) else { return };
+        let effects = owner.submit(sender, submissions);
+        self.apply_owner(shard as usize, effects);
+        self.tick_shard(shard as usize);
+    }
+
+    /// Lets a shard go on at once, rather than at the next tick.
+    fn tick_shard(&mut self, shard: usize) {
+        let now = self.now;
+        let effects = self.owners[shard].tick(now.mono_ms, now.wall_s);
+        self.apply_owner(shard, effects);
+    }
+
+    fn apply_owner(&mut self, shard: usize, effects: Vec<owner::Effect>) {
+        for effect in effects {
+            match effect {
+                owner::Effect::Call(call) => {
+                    let id = action::CallId::Shard(u32::try_from(shard).unwrap_or(u32::MAX));
+                    self.act(action::Action::CallPlatform { id, call });
+                }
+                owner::Effect::Verdicts { to, decided } => self.send_verdicts(to, decided),
+                owner::Effect::Raced => self.counters.add(counter::Counter::LedgerRaces),
+                owner::Effect::CheckpointTooLarge => {
+                    self.counters.add(counter::Counter::CheckpointsSkipped);
+                }
+            }
+        }
+    }
+
+    fn send_verdicts(&mut self, to: identity::HostId, decided: Vec<ledger_message::Decided>) {
+        if to == self.id() {
+            self.on_verdicts(decided);
+        } else if let Some(to) = self.membership.address_of(to) {
+            self.send_ledger(to, ledger_message::Message::Verdicts(decided));
+        }
+    }
+
+    fn on_verdicts(&mut self, decided: Vec<ledger_message::Decided>) {
+        for decided in decided {
+            let Some(entry) = self.journal.decide(decided.number) else { continue };
+            match entry {
+                entry::Entry::Claim { key, claim, .. } => {
+                    self.on_claim_verdict(key, claim, decided.verdict);
+                }
+                entry::Entry::Release { .. } => {
+                    self.counters.add(counter::Counter::ClaimsReleased);
+                }
+                entry::Entry::Settle { .. } => {}
+                entry::Entry::Bill(bill) => {
+                    self.counters.add(counter::Counter::Billed);
+                    if bill.id.host == self.id() {
+                        self.notes.close(bill.id.number);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The backup stands in another data centre, in another region if there is one.
+    fn choose_backup(&self) -> Option<identity::HostId> {
+        let me = &self.config.info;
+        let others = |is_far: fn(&identity::HostInfo, &identity::HostInfo) -> bool| {
+            let ids = self
+                .membership
+                .eligible()
+                .filter(|record| is_far(&record.info, me))
+                .map(|record| record.info.id);
+            rendezvous::first(me.id.0, ids)
+        };
+        others(|info, me| info.region == me.region && info.data_centre != me.data_centre)
+            .or_else(|| others(|info, me| info.data_centre != me.data_centre))
+            .or_else(|| others(|info, me| info.id != me.id))
+    }
+
+    fn send_ledger(&mut self, to: net::SocketAddr, message: ledger_message::Message) {
+        let message = message::Message::Ledger(message);
+        self.act(action::Action::SendPeer { to, message });
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,1 +1,23 @@
-fn main() {}
+//! What operators run: checks, changes, status and trail of the configuration.
+
+mod cli;
+mod commands;
+mod error;
+mod fleet;
+mod render;
+
+use std::process;
+
+use clap::Parser as _;
+
+#[tokio::main]
+async fn main() -> process::ExitCode {
+    let arguments = cli::Arguments::parse();
+    match commands::run(arguments).await {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            process::ExitCode::from(error.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/cli.rs
@@ -0,0 +1,34 @@
+//! The command line.
+
+use std::path;
+
+use clap::Parser;
+
+/// Entry host of toucanwall: routes requests to allowed versions, once, at the right cost.
+#[derive(Debug, Clone)]
+#[derive(Parser)]
+#[command(version, after_help = "Example:\n  toucanwall --settings host.yaml\n  toucanwall --settings host.yaml --check")]
+pub struct Arguments {
+    /// Settings file, in YAML.
+    #[arg(long)]
+    pub settings: path::PathBuf,
+    /// Check the settings, print every finding and exit.
+    #[arg(long)]
+    pub check: bool,
+    /// Form of the log lines.
+    #[arg(long, value_enum, default_value_t = LogFormat::Text)]
+    pub log_format: LogFormat,
+    /// Least level that is logged.
+    #[arg(long, default_value = "info")]
+    pub log_level: log::LevelFilter,
+}
+
+/// Form of the log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(clap::ValueEnum)]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
--- /dev/null
+++ b/crates/policy/src/cascade.rs
@@ -0,0 +1,128 @@
+//! Which stage of a cascade a request starts at.
+
+use std::collections;
+use std::sync::Arc;
+
+use toucanwall_document::document;
+use toucanwall_document::name;
+
+/// Ratings after which a learned pass rate is trusted.
+const RATINGS_MIN: f64 = 20.0;
+/// Weight that older ratings keep when a new one comes in.
+const DECAY: f64 = 0.995;
+/// Every how many direct requests the cheap stage is tried again, to keep learning.
+const EXPLORE_EVERY: u64 = 50;
+/// Most kinds of request that are kept.
+const KINDS_MAX: usize = 4_096;
+
+/// What kind of request it is: requests of a kind pass a stage about equally often.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Kind {
+    /// The organisation.
+    pub organisation: name::Name,
+    /// The cascade.
+    pub cascade: name::Name,
+    /// What the caller says the request is, or its size class.
+    pub class: Arc<str>,
+}
+
+/// Passed and rated answers of a stage, older ones with less weight.
+#[derive(Debug, Clone, Copy, Default)]
+struct PassRate {
+    passed: f64,
+    rated: f64,
+}
+
+/// What is known of a stage when a start is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StageInfo {
+    /// Price of a thousand tokens, in microcents.
+    pub cost_microcents_per_kilotoken: u64,
+    /// Expected time of an answer, in milliseconds.
+    pub answer_ms: u64,
+}
+
+/// Learns how often stages pass, and chooses where to start.
+#[derive(Debug, Default)]
+pub struct Cascades {
+    rates: collections::BTreeMap<(Kind, usize), PassRate>,
+    started: collections::BTreeMap<Kind, u64>,
+}
+
+impl Cascades {
+    /// Nothing learned yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes whether an answer of a stage met the quality target.
+    pub fn learn(&mut self, kind: &Kind, stage: usize, has_passed: bool) {
+        if self.rates.len() >= KINDS_MAX && !self.rates.contains_key(&(kind.clone(), stage)) {
+            self.rates.pop_first();
+        }
+        let rate = self.rates.entry((kind.clone(), stage)).or_default();
+        rate.passed = rate.passed * DECAY + f64::from(u8::from(has_passed));
+        rate.rated = rate.rated * DECAY + 1.0;
+    }
+
+    /// Chooses the stage to start at.
+    ///
+    /// The cost of starting at a stage is its own cost plus, if it does not pass, the cost of
+    /// the stages after it. A start whose stages would together miss the deadline is left out.
+    pub fn start(&mut self, kind: &Kind, stages: &[StageInfo], left_ms: u64) -> usize {
+        let last = stages.len().saturating_sub(1);
+        let count = self.started.entry(kind.clone()).or_default();
+        *count += 1;
+        let explores = *count % EXPLORE_EVERY == 0;
+        if self.started.len() > KINDS_MAX {
+            self.started.pop_first();
+        }
+        let in_time =
+            |first: usize| stages[first..].iter().map(|s| s.answer_ms).sum::<u64>() <= left_ms;
+        let candidates = (0..stages.len()).filter(|first| *first == last || in_time(*first));
+        if explores {
+            return candidates.min().unwrap_or(last);
+        }
+        candidates
+            .map(|first| (self.expected_cost(kind, stages, first), first))
+            .min_by(|left, right| left.0.total_cmp(&right.0))
+            .map_or(last, |(_, first)| first)
+    }
+
+    /// Expected cost of starting at a stage, in microcents a thousand tokens.
+    #[must_use]
+    pub fn expected_cost(&self, kind: &Kind, stages: &[StageInfo], first: usize) -> f64 {
+        let mut expected = 0.0;
+        let mut reach = 1.0;
+        for (stage, info) in stages.iter().enumerate().skip(first) {
+            let cost = u32::try_from(info.cost_microcents_per_kilotoken).unwrap_or(u32::MAX);
+            expected += reach * f64::from(cost);
+            reach *= 1.0 - self.pass_rate(kind, stage);
+        }
+        expected
+    }
+
+    /// How often a stage passes; optimistic until enough ratings are in.
+    #[must_use]
+    pub fn pass_rate(&self, kind: &Kind, stage: usize) -> f64 {
+        let rate = self.rates.get(&(kind.clone(), stage)).copied().unwrap_or_default();
+        let prior = (RATINGS_MIN - rate.rated).max(0.0);
+        (rate.passed + prior) / (rate.rated + prior).max(1.0)
+    }
+}
+
+/// The stages of a cascade that an organisation may use, with their position.
+#[must_use]
+pub fn usable_stages(
+    document: &document::Document,
+    organisation: &document::Organisation,
+    cascade: &document::Cascade,
+) -> Vec<name::Name> {
+    let is_usable = |model_name: &name::Name| {
+        document.models.get(model_name).is_some_and(|model| {
+            model.serving().any(|(version, _)| organisation.allows(model_name, version))
+        })
+    };
+    cascade.stages.iter().filter(|stage| is_usable(stage)).cloned().collect()
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! Routing decisions as small pure modules.
+//!
+//! Each takes the checked document and what the host has seen, and returns one decision.
+//! Time comes in as milliseconds, chance as a seeded generator; nothing here does I/O.
+
+pub mod balance;
+pub mod cascade;
+pub mod eligibility;
+pub mod limit;
+pub mod poison;
+pub mod retry;
+pub mod rollout;
+pub mod share;
--- /dev/null
+++ b/crates/policy/src/share.rs
@@ -0,0 +1,40 @@
+//! Which version a new session gets.
+
+use toucanwall_document::document;
+use toucanwall_document::name;
+
+/// Picks a serving version that the organisation allows, by share.
+///
+/// Weighted rendezvous hashing: a share that grows only draws sessions to its own
+/// version, and every host with the same document picks the same version for a session.
+#[must_use]
+pub fn pick<'a>(
+    model_name: &name::Name,
+    model: &'a document::Model,
+    organisation: &document::Organisation,
+    session_hash: u64,
+) -> Option<&'a name::Name> {
+    model
+        .serving()
+        .filter(|(version, _)| organisation.allows(model_name, version))
+        .map(|(version, entry)| (score(version, entry.share_percent, session_hash), version))
+        .max_by(|left, right| left.0.total_cmp(&right.0))
+        .map(|(_, version)| version)
+}
+
+/// The highest score wins; its chance to be the highest is proportional to the share.
+fn score(version: &name::Name, share_percent: u64, session_hash: u64) -> f64 {
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(version.as_str().as_bytes(), session_hash);
+    let unit = unit_interval(hash);
+    if share_percent == 0 {
+        // Only reached where nothing with a share is allowed.
+        return -1.0e9 - unit;
+    }
+    unit.ln() / f64::from(u32::try_from(share_percent).unwrap_or(100))
+}
+
+/// Maps a hash to a number above 0 and below 1.
+fn unit_interval(hash: u64) -> f64 {
+    let bits = u32::try_from(hash >> 32).unwrap_or(0);
+    (f64::from(bits) + 0.5) / (f64::from(u32::MAX) + 1.0)
+}
--- /dev/null
+++ b/crates/standin/examples/standins.rs
@@ -0,0 +1,85 @@
+//! Runs the platform, the rating service, engines and plain services until it is ended.
+
+use std::collections;
+use std::net;
+use std::str::FromStr;
+
+use clap::Parser;
+use toucanwall_standin::engine;
+use toucanwall_standin::fixture;
+use toucanwall_standin::platform;
+use toucanwall_standin::rating;
+use toucanwall_standin::service;
+
+/// Stand-ins of the outside systems, for the quickstart.
+#[derive(Debug)]
+#[derive(Parser)]
+struct Arguments {
+    /// Address of the object API.
+    #[arg(long)]
+    platform: net::SocketAddr,
+    /// Address of the rating service.
+    #[arg(long)]
+    rating: net::SocketAddr,
+    /// An engine, as `address,pool,model@version+model@version`.
+    #[arg(long = "engine")]
+    engines: Vec<Place>,
+    /// A plain service, as `address,pool`.
+    #[arg(long = "service")]
+    services: Vec<Place>,
+    /// Time to the first token, in milliseconds.
+    #[arg(long, default_value_t = 20)]
+    first_token_ms: u64,
+    /// Time between tokens, in milliseconds.
+    #[arg(long, default_value_t = 5)]
+    between_tokens_ms: u64,
+}
+
+/// Where a backend server listens and what it has.
+#[derive(Debug, Clone)]
+struct Place {
+    address: net::SocketAddr,
+    pool: String,
+    loaded: collections::BTreeSet<String>,
+}
+
+impl FromStr for Place {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut fields = text.split(',');
+        let address = fields.next().unwrap_or_default();
+        let address = address.parse().map_err(|_| format!("`{address}` is not an address"))?;
+        let pool = fields.next().ok_or("the pool is missing")?.to_owned();
+        let loaded = fields.next().unwrap_or_default();
+        let loaded = loaded.split('+').filter(|item| !item.is_empty()).map(str::to_owned).collect();
+        Ok(Self { address, pool, loaded })
+    }
+}
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let arguments = Arguments::parse();
+    let platform = platform::Platform::new();
+    let mut running = vec![
+        platform.serve(arguments.platform).await?,
+        rating::serve(arguments.rating).await?,
+    ];
+    for place in &arguments.engines {
+        let engine = engine::Engine::new(engine::Behaviour {
+            loaded: place.loaded.clone(),
+            first_token_ms: arguments.first_token_ms,
+            between_tokens_ms: arguments.between_tokens_ms,
+            silent_after: None,
+            cut_after: None,
+        });
+        running.push(engine.serve(place.address).await?);
+        fixture::list_server(&platform, &place.pool, place.address, &place.loaded, false);
+    }
+    for place in &arguments.services {
+        running.push(service::Service::new().serve(place.address).await?);
+        fixture::list_server(&platform, &place.pool, place.address, &place.loaded, false);
+    }
+    println!("stand-ins are up: {} servers", running.len());
+    tokio::signal::ctrl_c().await
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,54 @@
+//! A server on a loopback address that can be stopped like a crash.
+
+use std::net;
+use std::sync::Arc;
+use std::sync::atomic;
+
+use poem::EndpointExt as _;
+use poem::IntoEndpoint as _;
+use poem::listener::Acceptor as _;
+use poem::listener::Listener as _;
+
+/// A running server; dropping it stops its listener.
+#[derive(Debug)]
+pub struct Running {
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// Set once it has crashed: streams that are under way break off.
+    pub is_down: Arc<atomic::AtomicBool>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Running {
+    /// Closes the listener and breaks off what is under way.
+    pub fn crash(&self) {
+        self.is_down.store(true, atomic::Ordering::SeqCst);
+        self.task.abort();
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+/// Serves routes at an address; port 0 takes a free one.
+///
+/// # Errors
+/// The address is in use or not one of this machine.
+pub async fn serve(
+    address: net::SocketAddr,
+    routes: poem::Route,
+    is_down: Arc<atomic::AtomicBool>,
+) -> std::io::Result<Running> {
+    let acceptor = poem::listener::TcpListener::bind(address).into_acceptor().await?;
+    let address = *acceptor.local_addr()[0].as_socket_addr().expect("a TCP listener has one");
+    let flag = Arc::clone(&is_down);
+    let endpoint = routes.into_endpoint().boxed();
+    let task = tokio::spawn(async move {
+        // A stand-in that cannot serve shows in the test that calls it.
+        drop(poem::Server::new_with_acceptor(acceptor).run(endpoint).await);
+    });
+    Ok(Running { address, is_down: flag, task })
+}
