Add randomised runs over the core, and address ledger replies to one run of a host

A verdict for an earlier run of a host reached the next run under the same address and closed an entry there that only shared its number. Ruled out: a lost create and a double owner (the log had no gap). Conclusion: replies name the run.

--- a/crates/coordination/src/ledger/message.rs
+++ b/crates/coordination/src/ledger/message.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::identity;
 use crate::ledger::entry;
 
 /// An entry on its way to the owner of its shard.
@@ -58,8 +59,13 @@
         /// The entries.
         submissions: Vec<Submission>,
     },
-    /// Verdicts on entries of the receiver.
-    Verdicts(Vec<Decided>),
+    /// Verdicts on entries of a host.
+    Verdicts {
+        /// The run that they are for; a later one under the same address has other entries.
+        to: identity::HostId,
+        /// The verdicts.
+        decided: Vec<Decided>,
+    },
     /// Notes for the receiver to keep.
     Notes {
         /// Counts the sender's messages of this kind.
@@ -69,6 +75,8 @@
     },
     /// Notes up to this one are kept.
     NotesKept {
+        /// The run that they are for.
+        to: identity::HostId,
         /// The sequence number of the notes.
         sequence: u64,
     },
--- /dev/null
+++ b/crates/core/examples/randomised.rs
@@ -0,0 +1,86 @@
+//! Randomised runs over many seeds; the first violation ends the run and names its seed.
+
+#[path = "../tests/world/mod.rs"]
+mod world;
+
+use std::process;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic;
+use std::thread;
+
+use clap::Parser;
+
+/// Randomised runs over a few hosts with faults.
+#[derive(Debug)]
+#[derive(Parser)]
+struct Arguments {
+    /// Number of seeds.
+    #[arg(long, default_value_t = 1_000)]
+    seeds: u64,
+    /// First seed.
+    #[arg(long, default_value_t = 0)]
+    from: u64,
+    /// Chance that a message is lost, in percent.
+    #[arg(long, default_value_t = 5)]
+    loss_percent: u32,
+    /// Time with faults and requests in each run, in milliseconds of the run's own clock.
+    #[arg(long, default_value_t = 40_000)]
+    busy_ms: u64,
+    /// Threads.
+    #[arg(long, default_value_t = 6)]
+    threads: u64,
+    /// Print what the hosts log.
+    #[arg(long)]
+    trace: bool,
+}
+
+fn main() -> process::ExitCode {
+    let arguments = Arguments::parse();
+    let next = atomic::AtomicU64::new(arguments.from);
+    let end = arguments.from + arguments.seeds;
+    let total = Mutex::new(world::Report::default());
+    let failed = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..arguments.threads {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, atomic::Ordering::SeqCst);
+                    let has_failed = !lock(&failed).is_empty();
+                    if seed >= end || has_failed {
+                        return;
+                    }
+                    let (report, violations) = run_seed(seed, &arguments);
+                    lock(&total).add(report);
+                    if !violations.is_empty() {
+                        lock(&failed).push((seed, violations));
+                    }
+                }
+            });
+        }
+    });
+    let total = *lock(&total);
+    println!("{total:#?}");
+    let failed = lock(&failed);
+    for (seed, violations) in failed.iter() {
+        println!("seed {seed}: {violations:?}");
+    }
+    if failed.is_empty() { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE }
+}
+
+fn run_seed(seed: u64, arguments: &Arguments) -> (world::Report, Vec<world::Violation>) {
+    let hardness = world::Hardness {
+        busy_ms: arguments.busy_ms,
+        heal_ms: 60_000,
+        loss_percent: arguments.loss_percent,
+    };
+    let mut world = world::World::new(seed, hardness);
+    if arguments.trace {
+        world.trace();
+    }
+    world.run()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -96,6 +96,8 @@
     pub ticket: event::Ticket,
     /// The attempt.
     pub attempt: event::Attempt,
+    /// Under which the request is billed, whichever attempt answers.
+    pub bill: entry::BillId,
     /// The server.
     pub server: net::SocketAddr,
     /// What runs, as `model@version` or the name of a service.
--- a/crates/core/src/host/ledger.rs
+++ b/crates/core/src/host/ledger.rs
@@ -92,15 +92,19 @@
             ledger_message::Message::Submit { shard, submissions } => {
                 self.on_submit(shard, sender, submissions);
             }
-            ledger_message::Message::Verdicts(decided) => self.on_verdicts(decided),
+            ledger_message::Message::Verdicts { to, decided } => {
+                if to == self.id() {
+                    self.on_verdicts(decided);
+                }
+            }
             ledger_message::Message::Notes { sequence, notes } => {
                 if self.vault.keep(sender, notes) {
-                    self.send_ledger(from, ledger_message::Message::NotesKept { sequence });
+                    let to = sender;
+                    self.send_ledger(from, ledger_message::Message::NotesKept { to, sequence });
                 }
             }
-            ledger_message::Message::NotesKept { sequence } => {
-                let kept = self.notes.kept(sender, sequence);
-                if !kept.is_empty() {
+            ledger_message::Message::NotesKept { to, sequence } => {
+                if to == self.id() && !self.notes.kept(sender, sequence).is_empty() {
                     self.finish_kept();
                 }
             }
@@ -158,8 +162,8 @@
     fn send_verdicts(&mut self, to: identity::HostId, decided: Vec<ledger_message::Decided>) {
         if to == self.id() {
             self.on_verdicts(decided);
-        } else if let Some(to) = self.membership.address_of(to) {
-            self.send_ledger(to, ledger_message::Message::Verdicts(decided));
+        } else if let Some(address) = self.membership.address_of(to) {
+            self.send_ledger(address, ledger_message::Message::Verdicts { to, decided });
         }
     }
 
--- a/crates/core/src/host/traffic.rs
+++ b/crates/core/src/host/traffic.rs
@@ -260,6 +260,7 @@
         let dispatch = action::Dispatch {
             ticket: request.head.ticket,
             attempt: state.attempt,
+            bill: entry::BillId { host: self.id(), number: state.number },
             server: state.server,
             item: route.item,
             organisation,
--- /dev/null
+++ b/crates/core/tests/world/callers.rs
@@ -0,0 +1,240 @@
+//! Fakes of the callers: they send, and send again with the same key.
+
+use std::collections;
+use std::sync::Arc;
+
+use rand::RngExt as _;
+use rand::seq::IndexedRandom as _;
+use toucanwall_coordination::ledger::entry;
+use toucanwall_core::event;
+use toucanwall_core::refusal;
+
+use super::Happening;
+use super::SLOTS;
+use super::Violation;
+use super::World;
+use super::document;
+
+/// Sends of one request at most.
+const SENDS_MAX: u32 = 6;
+
+/// What a caller got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Got {
+    Nothing,
+    Answer,
+    Replay,
+    NotRun,
+    Failure,
+    HostLost,
+}
+
+/// One send of a request.
+#[derive(Debug)]
+pub struct Send {
+    pub slot: usize,
+    pub run: u64,
+    pub request: usize,
+    pub got: Got,
+    /// Whether it has reached its host.
+    pub is_delivered: bool,
+    /// Under which the request is billed, once it was dispatched.
+    pub bill: Option<entry::BillId>,
+    /// What its session runs on, if it named one.
+    expected: Option<Arc<str>>,
+}
+
+/// What a caller wants.
+#[derive(Debug)]
+struct Wish {
+    key: Option<Arc<str>>,
+    session: Option<usize>,
+    is_cascade: bool,
+    sends: u32,
+}
+
+/// The callers.
+#[derive(Debug, Default)]
+pub struct FakeCallers {
+    wishes: Vec<Wish>,
+    pub sends: collections::BTreeMap<event::Ticket, Send>,
+    /// Session tokens, and the item that each session's model ran on first.
+    sessions: Vec<Session>,
+}
+
+#[derive(Debug)]
+struct Session {
+    token: Option<Arc<str>>,
+    item: Option<Arc<str>>,
+}
+
+impl FakeCallers {
+    /// The idempotency key of a send.
+    pub fn key_of(&self, ticket: event::Ticket) -> Option<Arc<str>> {
+        let send = self.sends.get(&ticket)?;
+        self.wishes[send.request].key.clone()
+    }
+
+    fn session_of(&mut self, ticket: event::Ticket) -> Option<&mut Session> {
+        let send = self.sends.get(&ticket)?;
+        self.sessions.get_mut(self.wishes[send.request].session?)
+    }
+}
+
+impl World {
+    pub(super) fn caller_sends(&mut self) {
+        if self.is_healing {
+            return;
+        }
+        let is_booking = self.chance(50);
+        let session = (!is_booking && self.chance(60)).then(|| self.draw_session());
+        let is_cascade = session.is_none() && self.chance(50);
+        let request = self.callers.wishes.len();
+        self.callers.wishes.push(Wish {
+            // Few keys, so that the same one is sent to several hosts at once.
+            key: is_booking.then(|| Arc::from(format!("key-{}", request / 2))),
+            session,
+            is_cascade,
+            sends: 0,
+        });
+        self.report.requests += 1;
+        self.send(request);
+        let at_ms = self.now_ms + self.rng.random_range(10..800);
+        self.push(at_ms, Happening::CallerSends);
+    }
+
+    pub(super) fn caller_resends(&mut self, request: usize) {
+        if !self.is_healing && self.callers.wishes[request].sends < SENDS_MAX {
+            self.send(request);
+        }
+    }
+
+    pub(super) fn caller_answered(&mut self, ticket: event::Ticket) {
+        self.report.answered += 1;
+        self.end_send(ticket, Got::Answer);
+    }
+
+    pub(super) fn caller_replayed(&mut self, ticket: event::Ticket) {
+        self.end_send(ticket, Got::Replay);
+    }
+
+    pub(super) fn caller_refused(&mut self, ticket: event::Ticket, refusal: &refusal::NotRun) {
+        self.end_send(ticket, Got::NotRun);
+        if refusal.reason() == refusal::Reason::SessionWithdrawn
+            && let Some(session) = self.callers.session_of(ticket)
+        {
+            *session = Session { token: None, item: None };
+        }
+        self.resend_later(ticket);
+    }
+
+    pub(super) fn caller_failed(&mut self, ticket: event::Ticket, _failure: refusal::Failure) {
+        self.end_send(ticket, Got::Failure);
+        self.resend_later(ticket);
+    }
+
+    pub(super) fn note_delivery(&mut self, event: &event::Event) {
+        if let event::Event::Request(head) = event
+            && let Some(send) = self.callers.sends.get_mut(&head.ticket)
+        {
+            send.is_delivered = true;
+        }
+    }
+
+    /// The connections to a lost host break: its callers go elsewhere.
+    pub(super) fn callers_lose_host(&mut self, slot: usize) {
+        let run = self.slots[slot].run;
+        let open: Vec<event::Ticket> = self
+            .callers
+            .sends
+            .iter()
+            .filter(|(_, send)| send.slot == slot && send.run == run && send.got == Got::Nothing)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in open {
+            self.end_send(ticket, Got::HostLost);
+            self.resend_later(ticket);
+        }
+    }
+
+    /// A session runs on one version from the answer that started it on.
+    pub(super) fn note_session(&mut self, ticket: event::Ticket, item: &Arc<str>, token: &Arc<str>) {
+        let Some(send) = self.callers.sends.get_mut(&ticket) else { return };
+        let request = send.request;
+        let expected = send.expected.get_or_insert_with(|| Arc::clone(item));
+        let has_changed = expected != item;
+        let Some(index) = self.callers.wishes[request].session else { return };
+        if has_changed {
+            self.violate(Violation::SessionChangedVersion);
+            return;
+        }
+        let session = &mut self.callers.sessions[index];
+        session.token = Some(Arc::clone(token));
+        session.item = Some(Arc::clone(item));
+    }
+
+    fn draw_session(&mut self) -> usize {
+        if self.callers.sessions.len() < 8 {
+            self.callers.sessions.push(Session { token: None, item: None });
+        }
+        self.rng.random_range(0..self.callers.sessions.len())
+    }
+
+    fn send(&mut self, request: usize) {
+        let alive: Vec<usize> = (0..SLOTS).filter(|s| self.slots[*s].host.is_some()).collect();
+        let Some(slot) = alive.choose(&mut self.rng).copied() else { return };
+        let ticket = event::Ticket(self.rng.random());
+        let run = self.slots[slot].run;
+        let wish = &mut self.callers.wishes[request];
+        wish.sends += 1;
+        let known = wish.session.map(|index| &self.callers.sessions[index]);
+        let expected = known.and_then(|session| session.item.clone());
+        let session = known
+            .and_then(|session| session.token.clone())
+            .map_or(event::Session::None, event::Session::Token);
+        let target = match &wish.key {
+            Some(_) => event::Target::Service {
+                name: Arc::from("desk"),
+                call: Arc::from("POST /bookings"),
+            },
+            None if wish.is_cascade => event::Target::Model(Arc::from("cascade")),
+            None => event::Target::Model(Arc::from("model")),
+        };
+        let head = event::Head {
+            ticket,
+            key_sha256: document::key_sha256(),
+            target,
+            session,
+            idempotency_key: wish.key.clone(),
+            deadline_ms: 10_000,
+            class: Arc::from("short"),
+            content: wish.key.as_ref().map_or(self.rng.random(), |_| 7),
+            prefix: None,
+            resume_from: 0,
+        };
+        let got = Got::Nothing;
+        let send =
+            Send { slot, run, request, got, is_delivered: false, bill: None, expected };
+        self.callers.sends.insert(ticket, send);
+        let event = event::Event::Request(Arc::new(head));
+        let at_ms = self.now_ms + self.rng.random_range(0..5);
+        self.push(at_ms, Happening::Deliver { slot, run: Some(run), event });
+    }
+
+    fn end_send(&mut self, ticket: event::Ticket, got: Got) {
+        let Some(send) = self.callers.sends.get_mut(&ticket) else { return };
+        if send.got != Got::Nothing {
+            let violation = Violation::TwoFinalAnswers { first: send.got, second: got };
+            self.violate(violation);
+            return;
+        }
+        send.got = got;
+    }
+
+    fn resend_later(&mut self, ticket: event::Ticket) {
+        let Some(send) = self.callers.sends.get(&ticket) else { return };
+        let request = send.request;
+        let at_ms = self.now_ms + self.rng.random_range(50..3_000);
+        self.push(at_ms, Happening::CallerResends { request });
+    }
+}
--- /dev/null
+++ b/crates/core/tests/world/check.rs
@@ -0,0 +1,172 @@
+//! What must hold at every step and at the end.
+
+use std::collections;
+
+use toucanwall_coordination::ledger::entry;
+use toucanwall_coordination::ledger::owner;
+use toucanwall_coordination::ledger::state;
+use toucanwall_core::counter;
+
+use super::SHARDS;
+use super::SLOTS;
+use super::World;
+use super::callers;
+
+/// Something that must hold and did not.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Violation {
+    WithdrawnVersionDispatched { late_ms: u64 },
+    LeavingServerDispatched { late_ms: u64 },
+    SessionChangedVersion,
+    TwoFinalAnswers { first: callers::Got, second: callers::Got },
+    RevisionReverted { from: u64, to: u64 },
+    InvariantBreach,
+    StoppedWithOpenRequests { open: usize },
+    EffectRepeated { key: String, times: u64 },
+    NotRunButRan,
+    AnsweredButNoEffect,
+    NotInForceEverywhere { revision: u64, host: u64 },
+    NoFinalAnswer { sends: usize },
+    Unbilled { got: callers::Got, id: entry::BillId },
+    TotalsDiffer { naive: u64, state: u64 },
+}
+
+impl World {
+    pub(super) fn violate(&mut self, violation: Violation) {
+        self.violations.push(violation);
+    }
+
+    pub(super) fn check_host(&mut self, slot: usize) {
+        let known = self.slots[slot].revision;
+        let Some(host) = &self.slots[slot].host else { return };
+        let revision = host.revision();
+        let has_breach = host.counters().get(counter::Counter::InvariantBreaches) > 0;
+        self.slots[slot].revision = revision;
+        if revision < known {
+            self.violate(Violation::RevisionReverted { from: known, to: revision });
+        }
+        if has_breach {
+            self.violate(Violation::InvariantBreach);
+        }
+    }
+
+    /// A planned stop cuts off no request.
+    pub(super) fn check_stopped(&mut self, slot: usize) {
+        let run = self.slots[slot].run;
+        let open = self
+            .callers
+            .sends
+            .values()
+            .filter(|send| {
+                send.slot == slot
+                    && send.run == run
+                    && send.is_delivered
+                    && send.got == callers::Got::Nothing
+            })
+            .count();
+        if open > 0 && self.slots[slot].is_stopping {
+            self.violate(Violation::StoppedWithOpenRequests { open });
+        }
+    }
+
+    pub(super) fn check_at_end(&mut self) {
+        if !self.violations.is_empty() {
+            return;
+        }
+        self.check_effects();
+        self.check_refusals();
+        self.check_in_force();
+        self.check_final_answers();
+        self.check_bills();
+        self.report.effects = self.backends.effects.values().sum();
+    }
+
+    fn check_effects(&mut self) {
+        let repeated: Vec<Violation> = self
+            .backends
+            .effects
+            .iter()
+            .filter(|(_, times)| **times > 1)
+            .map(|(key, times)| Violation::EffectRepeated { key: key.to_string(), times: *times })
+            .collect();
+        self.violations.extend(repeated);
+    }
+
+    fn check_refusals(&mut self) {
+        let sends: Vec<_> = self.callers.sends.iter().map(|(t, s)| (*t, s.got)).collect();
+        for (ticket, got) in sends {
+            let has_run = self.backends.runs.contains_key(&ticket);
+            match got {
+                callers::Got::NotRun if has_run => self.violate(Violation::NotRunButRan),
+                callers::Got::Answer if !has_run => self.violate(Violation::AnsweredButNoEffect),
+                _ => {}
+            }
+        }
+    }
+
+    fn check_in_force(&mut self) {
+        let revision = self.value_in_force().revision;
+        for slot in 0..SLOTS {
+            let known = self.slots[slot].host.as_ref().map(toucanwall_core::Host::revision);
+            if let Some(host) = known.filter(|known| *known != revision) {
+                self.violate(Violation::NotInForceEverywhere { revision, host });
+            }
+        }
+    }
+
+    fn check_final_answers(&mut self) {
+        let sends =
+            self.callers.sends.values().filter(|s| s.got == callers::Got::Nothing).count();
+        if sends > 0 {
+            self.violate(Violation::NoFinalAnswer { sends });
+        }
+    }
+
+    /// Reads the whole log naively and compares.
+    fn check_bills(&mut self) {
+        let mut billed = collections::BTreeSet::new();
+        let mut naive_cost = 0;
+        let mut state_cost = 0;
+        for shard in 0..SHARDS {
+            let mut state = state::ShardState::default();
+            for object in self.platform.under(&owner::log_prefix(shard)) {
+                let batch: entry::Batch =
+                    postcard::from_bytes(&object.value).expect("a batch decodes");
+                state.apply(&batch);
+                for entry in batch.entries {
+                    let entry::Entry::Bill(bill) = entry else { continue };
+                    if billed.insert(bill.id) {
+                        naive_cost += bill.cost_microcents;
+                    }
+                }
+            }
+            state_cost += state.totals().values().map(|t| t.cost_microcents).sum::<u64>();
+        }
+        if naive_cost != state_cost {
+            let (naive, state) = (naive_cost, state_cost);
+            self.violate(Violation::TotalsDiffer { naive, state });
+        }
+        self.check_each_request_billed(&billed);
+    }
+
+    /// Each request that was dispatched has a bill, unless its host and backup were both lost.
+    fn check_each_request_billed(&mut self, billed: &collections::BTreeSet<entry::BillId>) {
+        let mut unbilled = Vec::new();
+        for send in self.callers.sends.values() {
+            // A request that was refused in the end never ran and is not billed.
+            let is_billed = send.got != callers::Got::NotRun;
+            if let Some(id) = send.bill.filter(|id| is_billed && !billed.contains(id)) {
+                unbilled.push((id, send.got));
+            }
+        }
+        for (id, got) in unbilled {
+            if !self.lost_hosts.contains(&id.host) {
+                self.violate(Violation::Unbilled { got, id });
+            } else if got == callers::Got::Answer && self.lost_hosts.len() < 2 {
+                self.violate(Violation::Unbilled { got, id });
+            } else {
+                self.report.bills_lost_with_host += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/world/document.rs
@@ -0,0 +1,137 @@
+//! The operators' document and their changes.
+
+use std::sync::Arc;
+
+use rand::RngExt as _;
+use sha2::Digest as _;
+use toucanwall_coordination::parts;
+use toucanwall_coordination::platform;
+use toucanwall_coordination::replica;
+use toucanwall_document::check;
+use toucanwall_document::parts as document_parts;
+
+use super::Happening;
+use super::World;
+use super::platform::FakePlatform;
+
+/// The organisation's key.
+pub const KEY: &str = "a-key-of-the-test";
+/// Versions of the model that operators change.
+pub const VERSIONS: [&str; 3] = ["1", "2", "3"];
+
+/// The digest under which the document knows the key.
+pub fn key_sha256() -> Arc<str> {
+    let digest = sha2::Sha256::digest(KEY.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect::<String>().into()
+}
+
+/// Puts the first revision in force.
+pub fn store_first(fake: &mut FakePlatform) {
+    let next = parts_with([34, 33, 33], [false; 3]);
+    let change = change_from(&replica::Snapshot::default(), &next, 0, 0);
+    fake.put(&replica::log_key(1), serde_json::to_vec(&change).expect("JSON").into());
+}
+
+impl World {
+    /// Two operators change the document at the same moment; one of them is first.
+    pub(super) fn operator_changes(&mut self) {
+        if self.is_healing {
+            return;
+        }
+        let base = self.value_in_force();
+        for _ in 0..2 {
+            let (shares, withdrawn) = self.draw_versions();
+            let next = parts_with(shares, withdrawn);
+            let nonce = self.rng.random();
+            let change = change_from(&base, &next, nonce, self.now_ms);
+            self.operator_writes(&change, withdrawn);
+        }
+        let at_ms = self.now_ms + self.rng.random_range(2_000..12_000);
+        self.push(at_ms, Happening::OperatorChanges);
+    }
+
+    fn operator_writes(&mut self, change: &replica::Change, withdrawn: [bool; 3]) {
+        if self.now_ms < self.platform.out_until_ms || change.difference.is_empty() {
+            return;
+        }
+        let key = replica::log_key(change.revision);
+        let value = serde_json::to_vec(change).expect("JSON").into();
+        let reply = self.platform.execute(&platform::Call::Create { key, value });
+        if !matches!(reply, platform::Reply::Written { .. }) {
+            return;
+        }
+        for (version, is_withdrawn) in VERSIONS.iter().zip(withdrawn) {
+            let item: Arc<str> = Arc::from(format!("model@{version}"));
+            if !is_withdrawn {
+                self.withdrawn_since.remove(&item);
+            } else if !self.withdrawn_since.contains_key(&item) {
+                self.withdrawn_since.insert(item, self.now_ms);
+            }
+        }
+    }
+
+    fn draw_versions(&mut self) -> ([u64; 3], [bool; 3]) {
+        let kept = self.rng.random_range(0..3);
+        let mut withdrawn = [false; 3];
+        for (index, is_withdrawn) in withdrawn.iter_mut().enumerate() {
+            *is_withdrawn = index != kept && self.rng.random_range(0..3) == 0;
+        }
+        let mut shares = [0; 3];
+        shares[kept] = 100;
+        let other = (kept + 1) % 3;
+        if !withdrawn[other] {
+            shares[other] = self.rng.random_range(0..=100);
+            shares[kept] -= shares[other];
+        }
+        (shares, withdrawn)
+    }
+
+    /// The value that the platform's log adds up to.
+    pub(super) fn value_in_force(&self) -> replica::Snapshot {
+        let mut snapshot = replica::Snapshot::default();
+        for object in self.platform.under(replica::LOG_PREFIX) {
+            let change: replica::Change = serde_json::from_slice(&object.value).expect("JSON");
+            snapshot.parts.apply(&change.difference);
+            snapshot.revision = change.revision;
+        }
+        snapshot
+    }
+}
+
+fn change_from(
+    base: &replica::Snapshot,
+    next: &parts::Parts,
+    nonce: u64,
+    at_ms: u64,
+) -> replica::Change {
+    replica::Change {
+        revision: base.revision + 1,
+        author: Arc::from("operator"),
+        reason: Arc::from("test"),
+        at_ms,
+        nonce,
+        difference: base.parts.difference_to(next),
+        digest: next.digest(),
+    }
+}
+
+fn parts_with(shares: [u64; 3], withdrawn: [bool; 3]) -> parts::Parts {
+    let versions: String = VERSIONS
+        .iter()
+        .zip(shares.iter().zip(withdrawn))
+        .map(|(version, (share, withdrawn))| {
+            format!("      \"{version}\": {{ share_percent: {share}, withdrawn: {withdrawn} }}\n")
+        })
+        .collect();
+    let text = format!(
+        "pools:\n  engines: {{ progress_ms: 5000 }}\n  desk: {{ progress_ms: 5000 }}\n\
+         models:\n  model:\n    pool: engines\n    cost_microcents_per_kilotoken: 1000\n    versions:\n{versions}\
+         \x20 strong:\n    pool: engines\n    cost_microcents_per_kilotoken: 9000\n    versions:\n      \"1\": {{ share_percent: 100 }}\n\
+         cascades:\n  cascade: {{ stages: [model, strong], quality_target_percent: 80 }}\n\
+         services:\n  desk: {{ pool: desk, non_idempotent: [\"POST /bookings\"] }}\n\
+         organisations:\n  org:\n    key_sha256: {}\n    models: [model, strong]\n    cascades: [cascade]\n    services: [desk]\n    requests_per_s: 100000\n",
+        key_sha256()
+    );
+    let document = check::check("test", &text).unwrap_or_else(|findings| panic!("{findings}"));
+    document_parts::cut(&document)
+}
