Stop a replaced run from looking alive, and tell an outage from being cut off

After: pings name the run that is asked, a pause is noticed with any event, the highest number of hosts of the last minute counts.

--- a/crates/coordination/src/freshness.rs
+++ b/crates/coordination/src/freshness.rs
@@ -1,9 +1,19 @@
 //! How sure a host may be that it knows the latest configuration.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Age of the last confirmation up to which it counts as fresh, in milliseconds.
 pub const FRESH_MS: u64 = 6_000;
 /// Age after which a host that cannot rule out a partition takes no new work, in milliseconds.
 pub const CUT_OFF_MS: u64 = 12_000;
+/// Silence of all peers after which a host counts as alone, in milliseconds.
+pub const ALONE_MS: u64 = 4_000;
+/// Time for which the highest number of hosts counts, in milliseconds.
+///
+/// Without it hosts that crash one after the other before a partition would make the
+/// smaller side of it look like most of them.
+pub const PEAK_MS: u64 = 60_000;
 /// Allowance for the time that a message between hosts takes, in milliseconds.
 const TRANSIT_MS: u64 = 250;
 
@@ -18,61 +28,111 @@
     CutOff,
 }
 
+/// The last confirmation by the platform, as told to a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Confirmation {
+    /// Its age in milliseconds.
+    pub age_ms: u64,
+    /// Most live hosts of the last minute, of which more than half must still be heard.
+    pub hosts: u32,
+    /// Age of that number in milliseconds.
+    pub hosts_age_ms: u64,
+}
+
 /// When the platform last confirmed the configuration, directly or through peers.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Freshness {
-    confirmed_ms: Option<u64>,
-    hosts_at_confirmation: usize,
+    confirmed: Option<Confirmed>,
+    contact_ms: Option<u64>,
+    relies_on_peers_from_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Confirmed {
+    at_ms: u64,
+    hosts: u32,
+    hosts_at_ms: u64,
 }
 
 impl Freshness {
     /// Starts without a confirmation.
     #[must_use]
     pub fn new() -> Self {
-        Self { confirmed_ms: None, hosts_at_confirmation: 0 }
+        Self::default()
     }
 
     /// Notes a reply of the platform to a call made at `asked_ms`.
     pub fn confirm(&mut self, asked_ms: u64, hosts_heard: usize) {
-        if self.confirmed_ms.is_none_or(|known_ms| asked_ms > known_ms) {
-            self.confirmed_ms = Some(asked_ms);
-            self.hosts_at_confirmation = hosts_heard;
-        }
+        let hosts = u32::try_from(hosts_heard).unwrap_or(u32::MAX);
+        self.take(Confirmed { at_ms: asked_ms, hosts, hosts_at_ms: asked_ms });
     }
 
-    /// Notes the age that a peer gave for its own confirmation, in milliseconds.
-    pub fn hear(&mut self, age_ms: Option<u64>, now_ms: u64, hosts_heard: usize) {
-        if let Some(age_ms) = age_ms {
-            self.confirm(now_ms.saturating_sub(age_ms + TRANSIT_MS), hosts_heard);
+    /// Notes a message of a peer, with the peer's own last confirmation.
+    pub fn hear(&mut self, confirmation: Option<Confirmation>, now_ms: u64) {
+        self.contact_ms = Some(now_ms);
+        if let Some(told) = confirmation {
+            let at_ms = now_ms.saturating_sub(told.age_ms + TRANSIT_MS);
+            let hosts_at_ms = now_ms.saturating_sub(told.hosts_age_ms + TRANSIT_MS);
+            self.take(Confirmed { at_ms, hosts: told.hosts, hosts_at_ms });
         }
     }
 
-    /// Forgets the confirmation, as after a pause of this host.
-    pub fn lapse(&mut self) {
-        self.confirmed_ms = None;
+    /// Treats everything as lapsed, as after a pause of this host.
+    ///
+    /// What it knows of the members is as old as the pause, so that it counts for nothing
+    /// until they have been probed anew for `probing_ms`.
+    pub fn lapse(&mut self, now_ms: u64, probing_ms: u64) {
+        self.confirmed = None;
+        self.contact_ms = None;
+        self.relies_on_peers_from_ms = now_ms + probing_ms;
+    }
+
+    /// The last confirmation, for a peer.
+    #[must_use]
+    pub fn confirmation(&self, now_ms: u64) -> Option<Confirmation> {
+        let confirmed = self.confirmed?;
+        let age_ms = now_ms.saturating_sub(confirmed.at_ms);
+        let hosts_age_ms = now_ms.saturating_sub(confirmed.hosts_at_ms);
+        Some(Confirmation { age_ms, hosts: confirmed.hosts, hosts_age_ms })
     }
 
     /// Age of the last confirmation in milliseconds, if there was one.
     #[must_use]
     pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
-        self.confirmed_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+        self.confirmation(now_ms).map(|confirmation| confirmation.age_ms)
     }
 
     /// What the host may conclude; `hosts_heard` counts the live members, itself included.
     #[must_use]
     pub fn standing(&self, now_ms: u64, hosts_heard: usize) -> Standing {
-        let hears_most = hosts_heard * 2 > self.hosts_at_confirmation;
-        match self.age_ms(now_ms) {
-            Some(age_ms) if age_ms <= FRESH_MS => Standing::Fresh,
-            Some(age_ms) if age_ms <= CUT_OFF_MS => Standing::Unconfirmed,
-            _ if hears_most && hosts_heard > 1 => Standing::Unconfirmed,
-            _ => Standing::CutOff,
+        let Some(confirmation) = self.confirmation(now_ms) else { return Standing::CutOff };
+        if confirmation.age_ms <= FRESH_MS {
+            Standing::Fresh
+        } else if confirmation.age_ms <= CUT_OFF_MS
+            || self.hears_most(confirmation.hosts, now_ms, hosts_heard)
+        {
+            Standing::Unconfirmed
+        } else {
+            Standing::CutOff
         }
     }
-}
 
-impl Default for Freshness {
-    fn default() -> Self {
-        Self::new()
+    fn hears_most(&self, hosts: u32, now_ms: u64, hosts_heard: usize) -> bool {
+        let is_alone = self.contact_ms.is_none_or(|at_ms| now_ms > at_ms + ALONE_MS);
+        let heard = u32::try_from(hosts_heard).unwrap_or(u32::MAX);
+        !is_alone && now_ms >= self.relies_on_peers_from_ms && heard > hosts / 2
+    }
+
+    fn take(&mut self, confirmed: Confirmed) {
+        let Some(known) = &mut self.confirmed else {
+            self.confirmed = Some(confirmed);
+            return;
+        };
+        known.at_ms = known.at_ms.max(confirmed.at_ms);
+        if confirmed.hosts >= known.hosts || confirmed.at_ms >= known.hosts_at_ms + PEAK_MS {
+            known.hosts = confirmed.hosts;
+            known.hosts_at_ms = confirmed.hosts_at_ms;
+        }
     }
 }
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -22,7 +22,7 @@
 pub const REJOIN_INTERVAL_MS: u64 = 2_000;
 /// Time for which a dead member is remembered, in milliseconds.
 pub const FORGET_MS: u64 = 600_000;
-/// Gap between two ticks after which a host knows that it was paused, in milliseconds.
+/// Gap between two events after which a host knows that it was paused, in milliseconds.
 pub const PAUSE_GAP_MS: u64 = 2_000;
 /// Hosts asked to probe a silent member.
 const INDIRECT_PROBES: usize = 3;
@@ -63,7 +63,9 @@
 pub enum Message {
     /// Asks for an [`Message::Ack`].
     Ping {
-        /// Ties the answer to the question.
+        /// The run that is asked; a later one under the same address does not answer for it.
+        target: identity::HostId,
+        /// Ties the answer to the question; zero asks for none.
         nonce: u64,
         /// Recent changes.
         updates: Vec<Record>,
@@ -158,7 +160,7 @@
     next_probe_ms: u64,
     next_sync_ms: u64,
     next_rejoin_ms: u64,
-    last_tick_ms: u64,
+    last_event_ms: u64,
 }
 
 impl Membership {
@@ -188,7 +190,7 @@
             next_probe_ms,
             next_sync_ms,
             next_rejoin_ms: now_ms,
-            last_tick_ms: now_ms,
+            last_event_ms: now_ms,
         }
     }
 
@@ -230,15 +232,23 @@
     pub fn leave(&mut self) -> Vec<Effect> {
         self.restate_me(true, 0);
         let updates = self.take_updates();
-        let everybody = self.sample(usize::MAX);
-        let message = Message::Ping { nonce: 0, updates };
-        everybody.into_iter().map(|to| Effect::Send { to, message: message.clone() }).collect()
+        let others = self.members.values().map(|member| &member.record);
+        others
+            .filter(|record| record.info.id != self.me && record.status != Status::Dead)
+            .map(|record| Effect::Send {
+                to: record.info.peer_address,
+                message: Message::Ping {
+                    target: record.info.id,
+                    nonce: 0,
+                    updates: updates.clone(),
+                },
+            })
+            .collect()
     }
 
     /// Moves time on; call at least ten times a second.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        self.notice_pause(now_ms, &mut effects);
+        let mut effects = self.notice_pause(now_ms);
         self.check_probe(now_ms, &mut effects);
         self.expire_suspects(now_ms, &mut effects);
         self.relays.retain(|_, relay| now_ms < relay.sent_ms + PROBE_INTERVAL_MS);
@@ -258,6 +268,24 @@
         effects
     }
 
+    /// Notices that this host was paused; call before anything else that an event brings.
+    pub fn notice_pause(&mut self, now_ms: u64) -> Vec<Effect> {
+        let gap_ms = now_ms.saturating_sub(self.last_event_ms);
+        self.last_event_ms = now_ms;
+        if gap_ms < PAUSE_GAP_MS {
+            return Vec::new();
+        }
+        // Silence during one's own pause says nothing about others.
+        self.probe = None;
+        for member in self.members.values_mut() {
+            if member.record.status == Status::Suspect {
+                member.since_ms = now_ms;
+            }
+        }
+        self.next_sync_ms = now_ms;
+        vec![Effect::Paused { gap_ms }]
+    }
+
     /// Takes a message from the host at `from`.
     pub fn receive(
         &mut self,
@@ -267,10 +295,9 @@
     ) -> Vec<Effect> {
         let mut effects = Vec::new();
         match message {
-            Message::Ping { nonce, updates } => {
+            Message::Ping { target, nonce, updates } => {
                 self.merge(updates, now_ms, &mut effects);
-                let updates = self.take_updates();
-                effects.push(Effect::Send { to: from, message: Message::Ack { nonce, updates } });
+                self.answer_ping(from, target, nonce, &mut effects);
             }
             Message::Ack { nonce, updates } => {
                 self.merge(updates, now_ms, &mut effects);
@@ -301,23 +328,6 @@
         self.members.values().map(|member| member.record.clone()).collect()
     }
 
-    fn notice_pause(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
-        let gap_ms = now_ms.saturating_sub(self.last_tick_ms);
-        self.last_tick_ms = now_ms;
-        if gap_ms < PAUSE_GAP_MS {
-            return;
-        }
-        // Silence during one's own pause says nothing about others.
-        self.probe = None;
-        for member in self.members.values_mut() {
-            if member.record.status == Status::Suspect {
-                member.since_ms = now_ms;
-            }
-        }
-        self.next_sync_ms = now_ms;
-        effects.push(Effect::Paused { gap_ms });
-    }
-
     fn check_probe(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
         let Some(probe) = &mut self.probe else { return };
         let (nonce, target, age_ms) = (probe.nonce, probe.target, now_ms - probe.sent_ms);
@@ -340,7 +350,8 @@
         if let Some(address) = self.address_of(target) {
             effects.push(Effect::Reconnect { address });
             let updates = self.take_updates();
-            effects.push(Effect::Send { to: address, message: Message::Ping { nonce, updates } });
+            let message = Message::Ping { target, nonce, updates };
+            effects.push(Effect::Send { to: address, message });
         }
         for to in self.sample(INDIRECT_PROBES) {
             effects.push(Effect::Send { to, message: Message::PingRequest { nonce, target } });
@@ -352,7 +363,7 @@
         let Some(to) = self.address_of(target) else { return };
         let nonce = self.rng.random_range(1..u64::MAX);
         let updates = self.take_updates();
-        effects.push(Effect::Send { to, message: Message::Ping { nonce, updates } });
+        effects.push(Effect::Send { to, message: Message::Ping { target, nonce, updates } });
         self.probe = Some(Probe { nonce, target, sent_ms: now_ms, is_indirect: false });
     }
 
@@ -375,6 +386,22 @@
         None
     }
 
+    fn answer_ping(
+        &mut self,
+        from: net::SocketAddr,
+        target: identity::HostId,
+        nonce: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        if target != self.me {
+            // The asked run is over; the list tells the sender who is here now.
+            self.send_sync(&[from], effects);
+        } else if nonce != 0 {
+            let updates = self.take_updates();
+            effects.push(Effect::Send { to: from, message: Message::Ack { nonce, updates } });
+        }
+    }
+
     fn take_ack(&mut self, nonce: u64, now_ms: u64, effects: &mut Vec<Effect>) {
         if let Some(relay) = self.relays.remove(&nonce) {
             let message = Message::Ack { nonce: relay.nonce, updates: Vec::new() };
@@ -390,7 +417,8 @@
             self.rumours.insert(probe.target, 0);
             let record = self.members[&probe.target].record.clone();
             let to = record.info.peer_address;
-            let message = Message::Ping { nonce: 0, updates: vec![record] };
+            let target = record.info.id;
+            let message = Message::Ping { target, nonce: 0, updates: vec![record] };
             effects.push(Effect::Send { to, message });
         }
     }
@@ -406,7 +434,7 @@
         let Some(to) = self.address_of(target) else { return };
         let own = self.rng.random_range(1..u64::MAX);
         self.relays.insert(own, Relay { nonce, from, sent_ms: now_ms });
-        let message = Message::Ping { nonce: own, updates: Vec::new() };
+        let message = Message::Ping { target, nonce: own, updates: Vec::new() };
         effects.push(Effect::Send { to, message });
     }
 
@@ -495,6 +523,10 @@
     }
 
     fn adopt(&mut self, record: Record, now_ms: u64, effects: &mut Vec<Effect>) {
+        let mut record = record;
+        if record.status != Status::Dead && self.is_replaced(&record) {
+            record.status = Status::Dead;
+        }
         let host = record.info.id;
         let status = record.status;
         if status != Status::Dead {
@@ -511,6 +543,15 @@
         }
     }
 
+    /// Whether a later start is known under the same address.
+    fn is_replaced(&self, record: &Record) -> bool {
+        self.members.values().map(|member| &member.record.info).any(|other| {
+            other.id != record.info.id
+                && other.peer_address == record.info.peer_address
+                && other.started_ms > record.info.started_ms
+        })
+    }
+
     /// A later start under the same address proves that the earlier run is over.
     fn retire_replaced(&mut self, record: &Record, now_ms: u64, effects: &mut Vec<Effect>) {
         let replaced: Vec<Record> = self
--- a/crates/core/src/host/coordination.rs
+++ b/crates/core/src/host/coordination.rs
@@ -167,10 +167,10 @@
     ) {
         let effects = self.membership.receive(from, message, self.now.mono_ms);
         self.apply_membership(effects);
-        if position.revision == self.replica.revision() {
-            let heard = self.hosts_heard();
-            self.freshness.hear(position.confirmed_age_ms, self.now.mono_ms, heard);
-        }
+        // A confirmation counts only for the revision that it confirms.
+        let is_same = position.revision == self.replica.revision();
+        let confirmation = position.confirmation.filter(|_| is_same);
+        self.freshness.hear(confirmation, self.now.mono_ms);
         let effects = self.replica.hear_revision(from, position.revision);
         self.apply_replica(effects);
         let effects = self.registry.hear_position(from, position.status, self.now.mono_ms);
@@ -186,7 +186,7 @@
     fn send_gossip(&mut self, to: net::SocketAddr, message: membership::Message) {
         let position = message::Position {
             revision: self.replica.revision(),
-            confirmed_age_ms: self.freshness.age_ms(self.now.mono_ms),
+            confirmation: self.freshness.confirmation(self.now.mono_ms),
             status: self.registry.position(),
         };
         let message = message::Message::Gossip { message, position };
@@ -204,7 +204,7 @@
     /// After a pause nothing that rested on time holds until it is confirmed again.
     fn on_paused(&mut self, gap_ms: u64) {
         self.counters.add(counter::Counter::Paused);
-        self.freshness.lapse();
+        self.freshness.lapse(self.now.mono_ms, self.membership.suspicion_ms());
         self.vault.restart_delays(self.now.mono_ms);
         self.log(action::Level::Warn, format!("this host was paused for {gap_ms} ms"));
     }
--- a/crates/core/src/host/mod.rs
+++ b/crates/core/src/host/mod.rs
@@ -169,6 +169,8 @@
     /// Takes an event; returns what is to be done about it.
     pub fn handle(&mut self, event: event::Event, now: Now) -> Vec<action::Action> {
         self.now = now;
+        let effects = self.membership.notice_pause(now.mono_ms);
+        self.apply_membership(effects);
         match event {
             event::Event::Request(head) => self.on_request(head),
             event::Event::AttemptEnded { ticket, attempt, end } => {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use toucanwall_coordination::freshness;
 use toucanwall_coordination::ledger;
 use toucanwall_coordination::membership;
 use toucanwall_coordination::registry;
@@ -41,8 +42,8 @@
 pub struct Position {
     /// Revision of the configuration.
     pub revision: u64,
-    /// Age of the platform's last confirmation, in milliseconds.
-    pub confirmed_age_ms: Option<u64>,
+    /// The platform's last confirmation of it.
+    pub confirmation: Option<freshness::Confirmation>,
     /// Position of the status objects.
     pub status: registry::Position,
 }
