--- a/crates/coordination/src/freshness.rs
+++ b/crates/coordination/src/freshness.rs
@@ -14,9 +14,6 @@
 /// Without it hosts that crash one after the other before a partition would make the
 /// smaller side of it look like most of them.
 pub const PEAK_MS: u64 = 60_000;
-/// Allowance for the time that a message between hosts takes, in milliseconds.
-const TRANSIT_MS: u64 = 250;
-
 /// What a host may conclude about its configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -68,12 +65,14 @@
         self.take(Confirmed { at_ms: asked_ms, hosts, hosts_at_ms: asked_ms });
     }
 
-    /// Notes a message of a peer, with the peer's own last confirmation.
-    pub fn hear(&mut self, confirmation: Option<Confirmation>, now_ms: u64) {
-        self.contact_ms = Some(now_ms);
+    /// Notes a peer's answer to a question asked at `asked_ms`.
+    ///
+    /// Only answers count: any other message may have waited in a buffer for long.
+    pub fn hear(&mut self, confirmation: Option<Confirmation>, asked_ms: u64) {
+        self.contact_ms = self.contact_ms.max(Some(asked_ms));
         if let Some(told) = confirmation {
-            let at_ms = now_ms.saturating_sub(told.age_ms + TRANSIT_MS);
-            let hosts_at_ms = now_ms.saturating_sub(told.hosts_age_ms + TRANSIT_MS);
+            let at_ms = asked_ms.saturating_sub(told.age_ms);
+            let hosts_at_ms = asked_ms.saturating_sub(told.hosts_age_ms);
             self.take(Confirmed { at_ms, hosts: told.hosts, hosts_at_ms });
         }
     }
--- a/crates/coordination/src/ledger/backup.rs
+++ b/crates/coordination/src/ledger/backup.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub struct Notes {
     backup: Option<identity::HostId>,
+    former: collections::BTreeSet<identity::HostId>,
+    next_forget_ms: u64,
     open: collections::BTreeMap<u64, Open>,
     queue: Vec<message::Note>,
     in_flight: Option<InFlight>,
@@ -50,7 +52,9 @@
         if self.backup == backup {
             return;
         }
+        self.former.extend(self.backup);
         self.backup = backup;
+        self.former.retain(|host| Some(*host) != backup);
         self.in_flight = None;
         self.queue.clear();
         for (number, open) in &mut self.open {
@@ -120,6 +124,25 @@
         Some((to, message::Message::Notes { sequence, notes }))
     }
 
+    /// Former backups that may forget, once the present one keeps everything.
+    pub fn due_to_forget(&mut self, now_ms: u64) -> Vec<(identity::HostId, message::Message)> {
+        let is_all_kept = self.backup.is_some()
+            && self.in_flight.is_none()
+            && self.queue.is_empty()
+            && self.open.values().all(|open| open.is_kept);
+        if self.former.is_empty() || !is_all_kept || now_ms < self.next_forget_ms {
+            return Vec::new();
+        }
+        self.next_forget_ms = now_ms + RESEND_MS;
+        let message = message::Message::Forget { sequence: self.sequence };
+        self.former.iter().map(|host| (*host, message.clone())).collect()
+    }
+
+    /// Notes that a former backup has forgotten, or is gone.
+    pub fn forgotten(&mut self, host: identity::HostId) {
+        self.former.remove(&host);
+    }
+
     /// Takes the backup's word that notes are kept; returns the requests now known there.
     pub fn kept(&mut self, from: identity::HostId, sequence: u64) -> Vec<u64> {
         let is_answer = self.in_flight.as_ref().is_some_and(|f| f.sequence == sequence);
@@ -143,11 +166,17 @@
 /// What this host keeps for others.
 #[derive(Debug, Default)]
 pub struct Vault {
-    kept: collections::BTreeMap<identity::HostId, collections::BTreeMap<u64, Kept>>,
+    kept: collections::BTreeMap<identity::HostId, KeptHost>,
     lost: collections::BTreeMap<identity::HostId, u64>,
     count: usize,
 }
 
+#[derive(Debug, Default)]
+struct KeptHost {
+    sequence: u64,
+    requests: collections::BTreeMap<u64, Kept>,
+}
+
 #[derive(Debug)]
 struct Kept {
     organisation: Arc<str>,
@@ -174,29 +203,39 @@
     }
 
     /// Keeps notes of a host; returns false, and keeps nothing, if there is no room.
-    pub fn keep(&mut self, from: identity::HostId, notes: Vec<message::Note>) -> bool {
+    pub fn keep(
+        &mut self,
+        from: identity::HostId,
+        sequence: u64,
+        notes: Vec<message::Note>,
+    ) -> bool {
         if self.count + notes.len() > KEPT_MAX {
             return false;
         }
-        let kept = self.kept.entry(from).or_default();
-        let before = kept.len();
+        let host = self.kept.entry(from).or_default();
+        if sequence <= host.sequence {
+            // A late copy of notes that were kept already.
+            return true;
+        }
+        host.sequence = sequence;
+        let before = host.requests.len();
         for note in notes {
-            match note {
-                message::Note::Opened { number, organisation } => {
-                    kept.entry(number).or_insert(Kept { organisation, bill: None });
-                }
-                message::Note::Billed(bill) => {
-                    if let Some(entry) = kept.get_mut(&bill.id.number) {
-                        entry.bill = Some(bill);
-                    }
-                }
-                message::Note::Closed { number } => drop(kept.remove(&number)),
-            }
+            host.take(note);
         }
-        self.count = self.count + kept.len() - before;
+        self.count = self.count + host.requests.len() - before;
         true
     }
 
+    /// Forgets the notes of a host up to a message of notes.
+    pub fn forget(&mut self, from: identity::HostId, sequence: u64) {
+        let Some(host) = self.kept.get_mut(&from) else { return };
+        if sequence >= host.sequence {
+            self.count -= host.requests.len();
+            host.requests.clear();
+            host.sequence = sequence;
+        }
+    }
+
     /// Notes that a host was lost or is back.
     pub fn set_lost(&mut self, host: identity::HostId, is_lost: bool, now_ms: u64) {
         if is_lost {
@@ -225,8 +264,8 @@
         for host in due {
             self.lost.remove(&host);
             let kept = self.kept.remove(&host).unwrap_or_default();
-            self.count -= kept.len();
-            bills.extend(kept.into_iter().map(|(number, kept)| orphan_bill(host, number, kept)));
+            self.count -= kept.requests.len();
+            bills.extend(kept.requests.into_iter().map(|(number, kept)| orphan_bill(host, number, kept)));
         }
         bills
     }
@@ -234,7 +273,23 @@
     /// All that is kept for a host, for a check of the invariants.
     #[must_use]
     pub fn kept_for(&self, host: identity::HostId) -> usize {
-        self.kept.get(&host).map_or(0, collections::BTreeMap::len)
+        self.kept.get(&host).map_or(0, |host| host.requests.len())
+    }
+}
+
+impl KeptHost {
+    fn take(&mut self, note: message::Note) {
+        match note {
+            message::Note::Opened { number, organisation } => {
+                self.requests.entry(number).or_insert(Kept { organisation, bill: None });
+            }
+            message::Note::Billed(bill) => {
+                if let Some(kept) = self.requests.get_mut(&bill.id.number) {
+                    kept.bill = Some(bill);
+                }
+            }
+            message::Note::Closed { number } => drop(self.requests.remove(&number)),
+        }
     }
 }
 
--- a/crates/coordination/src/ledger/message.rs
+++ b/crates/coordination/src/ledger/message.rs
@@ -80,4 +80,14 @@
         /// The sequence number of the notes.
         sequence: u64,
     },
+    /// Another host keeps the sender's notes now.
+    Forget {
+        /// Number of the sender's last message of notes; later ones stay kept.
+        sequence: u64,
+    },
+    /// The notes of a host are forgotten.
+    Forgotten {
+        /// The run that they were for.
+        to: identity::HostId,
+    },
 }
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -115,6 +115,11 @@
         /// Its state now.
         status: Status,
     },
+    /// A member answered a ping of this host.
+    Acked {
+        /// When the ping was sent, in milliseconds: what the answer says held after that.
+        sent_ms: u64,
+    },
     /// This host was paused: nothing that it relied on still holds.
     Paused {
         /// Length of the pause in milliseconds.
@@ -409,6 +414,7 @@
             return;
         }
         let Some(probe) = self.probe.take_if(|probe| probe.nonce == nonce) else { return };
+        effects.push(Effect::Acked { sent_ms: probe.sent_ms });
         // An answer clears one's own suspicion; the member's refutation clears that of others.
         if let Some(member) = self.members.get_mut(&probe.target)
             && member.record.status == Status::Suspect
--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::freshness;
 use crate::platform;
 use crate::replica;
 
@@ -62,6 +63,11 @@
     Call(platform::Call),
     /// Objects changed.
     Changed(Vec<platform::Object>),
+    /// The platform confirmed the copy by a reply to a call made at this time.
+    Confirmed {
+        /// When the call was made, in milliseconds.
+        asked_ms: u64,
+    },
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -77,7 +83,7 @@
     position: Position,
     stage: Stage,
     listed_version: platform::Version,
-    is_asked: bool,
+    asked_ms: Option<u64>,
     next_ask_ms: u64,
     retry_ms: u64,
     fetched_whole_ms: u64,
@@ -92,7 +98,7 @@
             position: Position::default(),
             stage: Stage::List { after: String::new() },
             listed_version: 0,
-            is_asked: false,
+            asked_ms: None,
             next_ask_ms: now_ms,
             retry_ms: RETRY_MIN_MS,
             fetched_whole_ms: 0,
@@ -113,19 +119,26 @@
             .map(|(_, object)| object)
     }
 
-    /// Moves time on.
-    pub fn tick(&mut self, duty: replica::Duty, now_ms: u64) -> Vec<Effect> {
-        let is_listening = self.stage == Stage::Watch && duty == replica::Duty::Listen;
-        if self.is_asked || now_ms < self.next_ask_ms || is_listening {
+    /// Moves time on; `silence_ms` is the age of the last confirmation, if there was one.
+    pub fn tick(
+        &mut self,
+        duty: replica::Duty,
+        silence_ms: Option<u64>,
+        now_ms: u64,
+    ) -> Vec<Effect> {
+        let is_silent = silence_ms.is_none_or(|age_ms| age_ms > freshness::FRESH_MS);
+        let is_listening = duty == replica::Duty::Listen && !is_silent;
+        let has_nothing_to_ask = self.stage == Stage::Watch && is_listening;
+        if self.asked_ms.is_some() || now_ms < self.next_ask_ms || has_nothing_to_ask {
             return Vec::new();
         }
-        self.is_asked = true;
-        vec![Effect::Call(self.call())]
+        self.asked_ms = Some(now_ms);
+        vec![Effect::Call(self.call(duty))]
     }
 
     /// Takes the platform's reply to the call in flight.
     pub fn reply(&mut self, reply: platform::Reply, now_ms: u64) -> Vec<Effect> {
-        self.is_asked = false;
+        let Some(asked_ms) = self.asked_ms.take() else { return Vec::new() };
         let platform::Reply::Listing { objects, version } = reply else {
             self.next_ask_ms = now_ms + self.retry_ms;
             self.retry_ms = (self.retry_ms * 2).min(RETRY_MAX_MS);
@@ -133,11 +146,11 @@
         };
         self.retry_ms = RETRY_MIN_MS;
         self.advance_stage(&objects, version);
-        let changed = self.take(objects);
-        if changed.is_empty() {
-            return Vec::new();
+        let mut effects = self.take_and_spread(objects);
+        if self.stage == Stage::Watch {
+            effects.push(Effect::Confirmed { asked_ms });
         }
-        vec![Effect::Spread(Message::Objects(changed.clone())), Effect::Changed(changed)]
+        effects
     }
 
     /// Takes a message from the host at `from`.
@@ -148,13 +161,7 @@
                     self.objects.values().filter(|o| o.version > after).cloned().collect();
                 vec![Effect::Send { to: from, message: Message::Objects(objects) }]
             }
-            Message::Objects(objects) => {
-                let changed = self.take(objects);
-                if changed.is_empty() {
-                    return Vec::new();
-                }
-                vec![Effect::Spread(Message::Objects(changed.clone())), Effect::Changed(changed)]
-            }
+            Message::Objects(objects) => self.take_and_spread(objects),
         }
     }
 
@@ -179,7 +186,15 @@
         vec![Effect::Send { to: from, message: Message::Fetch { after } }]
     }
 
-    fn call(&self) -> platform::Call {
+    fn take_and_spread(&mut self, objects: Vec<platform::Object>) -> Vec<Effect> {
+        let changed = self.take(objects);
+        if changed.is_empty() {
+            return Vec::new();
+        }
+        vec![Effect::Spread(Message::Objects(changed.clone())), Effect::Changed(changed)]
+    }
+
+    fn call(&self, duty: replica::Duty) -> platform::Call {
         match &self.stage {
             Stage::List { after } => platform::Call::List {
                 prefix: PREFIX.to_owned(),
@@ -189,7 +204,10 @@
             Stage::Watch => platform::Call::Watch {
                 prefix: PREFIX.to_owned(),
                 after: self.listed_version,
-                wait_ms: replica::WATCH_WAIT_MS,
+                wait_ms: match duty {
+                    replica::Duty::Watch => replica::WATCH_WAIT_MS,
+                    replica::Duty::Listen => 0,
+                },
             },
         }
     }
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::freshness;
 use crate::parts;
 use crate::platform;
 
@@ -200,7 +201,7 @@
         if self.asked.is_some() || now_ms < self.next_ask_ms {
             return Vec::new();
         }
-        let is_silent = silence_ms.is_none_or(|age_ms| age_ms > crate::freshness::FRESH_MS / 2);
+        let is_silent = silence_ms.is_none_or(|age_ms| age_ms > freshness::FRESH_MS);
         let kind = match (self.stage, duty) {
             (Stage::Snapshot, _) => AskedKind::Snapshot,
             (Stage::Log, _) => AskedKind::Log,
--- a/crates/core/src/host/addresses.rs
+++ b/crates/core/src/host/addresses.rs
@@ -80,6 +80,7 @@
         let age_ms = self.now.mono_ms - since_ms;
         let has_work = !self.requests.is_empty()
             || !self.journal.is_empty()
+            || !self.vault.is_empty()
             || self.owners.iter().any(|owner| !owner.is_idle());
         let promise_is_over = age_ms >= self.config.address_ttl_ms;
         if (promise_is_over && !has_work) || age_ms >= self.config.shutdown_ms {
--- a/crates/core/src/host/coordination.rs
+++ b/crates/core/src/host/coordination.rs
@@ -43,6 +43,21 @@
     loaded: collections::BTreeSet<Arc<str>>,
 }
 
+/// What the platform and peers confirmed lately.
+#[derive(Debug, Default)]
+pub(super) struct Confirmations {
+    configuration_ms: Option<u64>,
+    status_ms: Option<u64>,
+    told: Option<Told>,
+}
+
+/// What a peer answered to a ping.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    position: message::Position,
+    sent_ms: u64,
+}
+
 impl Host {
     pub(super) fn on_tick(&mut self) {
         let effects = self.membership.tick(self.now.mono_ms);
@@ -52,7 +67,7 @@
         let age_ms = self.freshness.age_ms(self.now.mono_ms);
         let effects = self.replica.tick(duty, age_ms, self.now.mono_ms);
         self.apply_replica(effects);
-        let effects = self.registry.tick(duty, self.now.mono_ms);
+        let effects = self.registry.tick(duty, age_ms, self.now.mono_ms);
         self.apply_registry(effects);
         self.tick_ledger();
         self.expire_requests();
@@ -69,10 +84,14 @@
             message::Message::Gossip { message, position } => {
                 self.on_gossip(from, message, position);
             }
-            message::Message::Replica(message) => self.on_replica(from, message),
+            message::Message::Replica(message) => {
+                self.on_replica(from, message);
+                self.take_told();
+            }
             message::Message::Registry(message) => {
                 let effects = self.registry.receive(from, message);
                 self.apply_registry(effects);
+                self.take_told();
             }
             message::Message::Ledger(message) => self.on_ledger(from, sender, message),
             message::Message::Implicated { content, server } => {
@@ -150,6 +169,8 @@
                     self.act(action::Action::Reconnect { address });
                 }
                 membership::Effect::Changed { host, status } => self.on_member(host, status),
+                // Taken where the message comes in, together with the sender's position.
+                membership::Effect::Acked { .. } => {}
                 membership::Effect::Paused { gap_ms } => self.on_paused(gap_ms),
             }
         }
@@ -166,17 +187,42 @@
         position: message::Position,
     ) {
         let effects = self.membership.receive(from, message, self.now.mono_ms);
+        let acked_ms = effects.iter().find_map(|effect| match effect {
+            membership::Effect::Acked { sent_ms } => Some(*sent_ms),
+            _ => None,
+        });
         self.apply_membership(effects);
-        // A confirmation counts only for the revision that it confirms.
-        let is_same = position.revision == self.replica.revision();
-        let confirmation = position.confirmation.filter(|_| is_same);
-        self.freshness.hear(confirmation, self.now.mono_ms);
+        if let Some(sent_ms) = acked_ms {
+            self.confirmations.told = Some(Told { position, sent_ms });
+            self.freshness.hear(None, sent_ms);
+            self.take_told();
+        }
         let effects = self.replica.hear_revision(from, position.revision);
         self.apply_replica(effects);
         let effects = self.registry.hear_position(from, position.status, self.now.mono_ms);
         self.apply_registry(effects);
     }
 
+    /// The platform's own word counts from the older of its two replies on.
+    fn confirm(&mut self) {
+        let Confirmations { configuration_ms, status_ms, .. } = self.confirmations;
+        if let (Some(configuration_ms), Some(status_ms)) = (configuration_ms, status_ms) {
+            let heard = self.hosts_heard();
+            self.freshness.confirm(configuration_ms.min(status_ms), heard);
+        }
+    }
+
+    /// A peer's confirmation counts once this host has what the peer had.
+    fn take_told(&mut self) {
+        let Some(told) = self.confirmations.told else { return };
+        let has_revision = self.replica.revision() >= told.position.revision;
+        let has_status = self.registry.position().version >= told.position.status.version;
+        if has_revision && has_status {
+            self.confirmations.told = None;
+            self.freshness.hear(told.position.confirmation, told.sent_ms);
+        }
+    }
+
     fn on_replica(&mut self, from: net::SocketAddr, message: replica::Message) {
         let others = self.hosts_heard().saturating_sub(1);
         let effects = self.replica.receive(from, message, others);
@@ -197,6 +243,9 @@
         self.is_membership_changed = true;
         let is_lost = status == membership::Status::Dead;
         self.vault.set_lost(host, is_lost, self.now.mono_ms);
+        if is_lost {
+            self.notes.forgotten(host);
+        }
         let text = format!("host {host} is {}", crate::view::status_name(status));
         self.log(action::Level::Info, text);
     }
@@ -204,6 +253,7 @@
     /// After a pause nothing that rested on time holds until it is confirmed again.
     fn on_paused(&mut self, gap_ms: u64) {
         self.counters.add(counter::Counter::Paused);
+        self.confirmations = Confirmations::default();
         self.freshness.lapse(self.now.mono_ms, self.membership.suspicion_ms());
         self.vault.restart_delays(self.now.mono_ms);
         self.log(action::Level::Warn, format!("this host was paused for {gap_ms} ms"));
@@ -240,8 +290,8 @@
                     self.act(action::Action::CallPlatform { id, call });
                 }
                 replica::Effect::Confirmed { asked_ms } => {
-                    let heard = self.hosts_heard();
-                    self.freshness.confirm(asked_ms, heard);
+                    self.confirmations.configuration_ms = Some(asked_ms);
+                    self.confirm();
                 }
                 replica::Effect::Advanced { revision } => self.on_revision(revision),
                 replica::Effect::Mismatch { revision } => {
@@ -284,6 +334,10 @@
                     self.act(action::Action::CallPlatform { id: action::CallId::Status, call });
                 }
                 registry::Effect::Changed(objects) => self.on_status(&objects),
+                registry::Effect::Confirmed { asked_ms } => {
+                    self.confirmations.status_ms = Some(asked_ms);
+                    self.confirm();
+                }
             }
         }
     }
--- a/crates/core/src/host/ledger.rs
+++ b/crates/core/src/host/ledger.rs
@@ -7,6 +7,7 @@
 use toucanwall_coordination::ledger::journal;
 use toucanwall_coordination::ledger::message as ledger_message;
 use toucanwall_coordination::ledger::owner;
+use toucanwall_coordination::membership;
 use toucanwall_coordination::platform;
 use toucanwall_coordination::rendezvous;
 
@@ -50,6 +51,11 @@
             self.journal.submit(shard, entry::Entry::Bill(bill));
         }
         self.flush_journal();
+        for (former, message) in self.notes.due_to_forget(now.mono_ms) {
+            if let Some(to) = self.membership.address_of(former) {
+                self.send_ledger(to, message);
+            }
+        }
     }
 
     /// Sends what is due to the owners of its shards.
@@ -98,7 +104,7 @@
                 }
             }
             ledger_message::Message::Notes { sequence, notes } => {
-                if self.vault.keep(sender, notes) {
+                if self.vault.keep(sender, sequence, notes) {
                     let to = sender;
                     self.send_ledger(from, ledger_message::Message::NotesKept { to, sequence });
                 }
@@ -108,6 +114,16 @@
                     self.finish_kept();
                 }
             }
+            ledger_message::Message::Forget { sequence } => {
+                self.vault.forget(sender, sequence);
+                let to = sender;
+                self.send_ledger(from, ledger_message::Message::Forgotten { to });
+            }
+            ledger_message::Message::Forgotten { to } => {
+                if to == self.id() {
+                    self.notes.forgotten(sender);
+                }
+            }
         }
     }
 
@@ -188,20 +204,22 @@
         }
     }
 
-    /// The backup stands in another data centre, in another region if there is one.
+    /// The backup stands in another data centre, of the same region if there is one.
     fn choose_backup(&self) -> Option<identity::HostId> {
         let me = &self.config.info;
-        let others = |is_far: fn(&identity::HostInfo, &identity::HostInfo) -> bool| {
-            let ids = self
-                .membership
-                .eligible()
-                .filter(|record| is_far(&record.info, me))
-                .map(|record| record.info.id);
-            rendezvous::first(me.id.0, ids)
+        let nearness = |record: &membership::Record| {
+            let info = &record.info;
+            let is_staying = !record.leaving;
+            let is_apart = info.data_centre != me.data_centre;
+            (is_staying, is_apart, info.region == me.region, rendezvous::weight(me.id.0, info.id))
         };
-        others(|info, me| info.region == me.region && info.data_centre != me.data_centre)
-            .or_else(|| others(|info, me| info.data_centre != me.data_centre))
-            .or_else(|| others(|info, me| info.id != me.id))
+        self.membership
+            .members()
+            .values()
+            .map(|member| &member.record)
+            .filter(|record| record.info.id != me.id && record.status != membership::Status::Dead)
+            .max_by_key(|record| nearness(record))
+            .map(|record| record.info.id)
     }
 
     fn send_ledger(&mut self, to: net::SocketAddr, message: ledger_message::Message) {
--- a/crates/core/src/host/mod.rs
+++ b/crates/core/src/host/mod.rs
@@ -93,6 +93,7 @@
     replica: replica::Replica,
     registry: registry::Registry,
     freshness: freshness::Freshness,
+    confirmations: coordination::Confirmations,
     catalogue: catalogue::Catalogue,
     catalogue_revision: u64,
 
@@ -142,6 +143,7 @@
             replica: replica::Replica::new(now.mono_ms),
             registry: registry::Registry::new(now.mono_ms),
             freshness: freshness::Freshness::new(),
+            confirmations: coordination::Confirmations::default(),
             catalogue: catalogue::Catalogue::default(),
             catalogue_revision: 0,
             owners,
--- a/crates/core/src/host/traffic.rs
+++ b/crates/core/src/host/traffic.rs
@@ -363,6 +363,11 @@
 
     /// Sends a request elsewhere whose dispatch never left this host.
     fn send_elsewhere(&mut self, request: request::Request<request::Dispatched>) {
+        if let Some(claim) = request.state.claim.filter(|_| request.state.is_abandoned) {
+            self.release(claim);
+            self.give_up(request);
+            return;
+        }
         let number = request.state.number;
         if request.state.plan.attempts >= ATTEMPTS_MAX || request.state.claim.is_none() {
             self.retry(request);
