--- a/crates/coordination/src/freshness.rs
+++ b/crates/coordination/src/freshness.rs
@@ -38,11 +38,16 @@
 }
 
 /// When the platform last confirmed the configuration, directly or through peers.
+///
+/// Hearing most hosts is enough to go on through an outage of the platform, but not to
+/// start anew: a host that was cut off, paused or has just started must first catch up with
+/// a peer that was not, or be confirmed by the platform.
 #[derive(Debug, Clone, Default)]
 pub struct Freshness {
     confirmed: Option<Confirmed>,
+    lapsed_ms: Option<u64>,
     contact_ms: Option<u64>,
-    relies_on_peers_from_ms: u64,
+    has_kept_up: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -61,77 +66,114 @@
 
     /// Notes a reply of the platform to a call made at `asked_ms`.
     pub fn confirm(&mut self, asked_ms: u64, hosts_heard: usize) {
-        let hosts = u32::try_from(hosts_heard).unwrap_or(u32::MAX);
-        self.take(Confirmed { at_ms: asked_ms, hosts, hosts_at_ms: asked_ms });
+        // A reply to a call from before a pause may be as old as the pause.
+        if self.lapsed_ms.is_some_and(|at_ms| asked_ms < at_ms) {
+            return;
+        }
+        let hosts = to_u32(hosts_heard);
+        self.take(Confirmed {
+            at_ms: asked_ms,
+            hosts,
+            hosts_at_ms: asked_ms,
+        });
     }
 
-    /// Notes a peer's answer to a question asked at `asked_ms`.
-    ///
-    /// Only answers count: any other message may have waited in a buffer for long.
-    pub fn hear(&mut self, confirmation: Option<Confirmation>, asked_ms: u64) {
+    /// Notes that a peer answered a question asked at `asked_ms`.
+    pub fn contact(&mut self, asked_ms: u64) {
         self.contact_ms = self.contact_ms.max(Some(asked_ms));
-        if let Some(told) = confirmation {
-            let at_ms = asked_ms.saturating_sub(told.age_ms);
-            let hosts_at_ms = asked_ms.saturating_sub(told.hosts_age_ms);
-            self.take(Confirmed { at_ms, hosts: told.hosts, hosts_at_ms });
-        }
     }
 
-    /// Treats everything as lapsed, as after a pause of this host.
+    /// Notes that this host has all that a peer had when it answered a question.
     ///
-    /// What it knows of the members is as old as the pause, so that it counts for nothing
-    /// until they have been probed anew for `probing_ms`.
-    pub fn lapse(&mut self, now_ms: u64, probing_ms: u64) {
-        self.confirmed = None;
-        self.contact_ms = None;
-        self.relies_on_peers_from_ms = now_ms + probing_ms;
+    /// The confirmation is the peer's; a peer that is cut off has none to tell. Only answers
+    /// count: any other message may have waited in a buffer for long.
+    pub fn catch_up(&mut self, confirmation: Confirmation, asked_ms: u64) {
+        let at_ms = asked_ms.saturating_sub(confirmation.age_ms);
+        let hosts_at_ms = asked_ms.saturating_sub(confirmation.hosts_age_ms);
+        self.take(Confirmed {
+            at_ms,
+            hosts: confirmation.hosts,
+            hosts_at_ms,
+        });
     }
 
-    /// The last confirmation, for a peer.
+    /// Treats everything as lapsed, as after a pause of this host.
+    pub fn lapse(&mut self, now_ms: u64) {
+        // The number of hosts still counts; the confirmation itself does not.
+        *self = Self {
+            confirmed: self.confirmed,
+            lapsed_ms: Some(now_ms),
+            ..Self::default()
+        };
+    }
+
+    /// Moves time on: a host that is cut off has to catch up before it relies on peers again.
+    pub fn tick(&mut self, now_ms: u64, hosts_heard: usize) {
+        if self.has_kept_up && self.standing(now_ms, hosts_heard) == Standing::CutOff {
+            self.has_kept_up = false;
+        }
+    }
+
+    /// The last confirmation, for a peer; a host that is cut off has none to tell.
     #[must_use]
-    pub fn confirmation(&self, now_ms: u64) -> Option<Confirmation> {
+    pub fn confirmation(&self, now_ms: u64, hosts_heard: usize) -> Option<Confirmation> {
+        if self.standing(now_ms, hosts_heard) == Standing::CutOff {
+            return None;
+        }
         let confirmed = self.confirmed?;
         let age_ms = now_ms.saturating_sub(confirmed.at_ms);
         let hosts_age_ms = now_ms.saturating_sub(confirmed.hosts_at_ms);
-        Some(Confirmation { age_ms, hosts: confirmed.hosts, hosts_age_ms })
+        Some(Confirmation {
+            age_ms,
+            hosts: confirmed.hosts,
+            hosts_age_ms,
+        })
     }
 
     /// Age of the last confirmation in milliseconds, if there was one.
     #[must_use]
     pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
-        self.confirmation(now_ms).map(|confirmation| confirmation.age_ms)
+        let confirmed = self.confirmed.filter(|_| self.lapsed_ms.is_none())?;
+        Some(now_ms.saturating_sub(confirmed.at_ms))
     }
 
     /// What the host may conclude; `hosts_heard` counts the live members, itself included.
     #[must_use]
     pub fn standing(&self, now_ms: u64, hosts_heard: usize) -> Standing {
-        let Some(confirmation) = self.confirmation(now_ms) else { return Standing::CutOff };
-        if confirmation.age_ms <= FRESH_MS {
+        let age_ms = self.age_ms(now_ms).unwrap_or(u64::MAX);
+        if age_ms <= FRESH_MS {
             Standing::Fresh
-        } else if confirmation.age_ms <= CUT_OFF_MS
-            || self.hears_most(confirmation.hosts, now_ms, hosts_heard)
-        {
+        } else if age_ms <= CUT_OFF_MS || self.hears_most(now_ms, hosts_heard) {
             Standing::Unconfirmed
         } else {
             Standing::CutOff
         }
     }
 
-    fn hears_most(&self, hosts: u32, now_ms: u64, hosts_heard: usize) -> bool {
-        let is_alone = self.contact_ms.is_none_or(|at_ms| now_ms > at_ms + ALONE_MS);
-        let heard = u32::try_from(hosts_heard).unwrap_or(u32::MAX);
-        !is_alone && now_ms >= self.relies_on_peers_from_ms && heard > hosts / 2
+    fn hears_most(&self, now_ms: u64, hosts_heard: usize) -> bool {
+        let is_alone = self
+            .contact_ms
+            .is_none_or(|at_ms| now_ms > at_ms + ALONE_MS);
+        let hosts = self.confirmed.map_or(0, |confirmed| confirmed.hosts);
+        self.has_kept_up && !is_alone && to_u32(hosts_heard) > hosts / 2
     }
 
     fn take(&mut self, confirmed: Confirmed) {
+        self.has_kept_up = true;
         let Some(known) = &mut self.confirmed else {
             self.confirmed = Some(confirmed);
             return;
         };
-        known.at_ms = known.at_ms.max(confirmed.at_ms);
+        if self.lapsed_ms.take().is_some() || confirmed.at_ms > known.at_ms {
+            known.at_ms = confirmed.at_ms;
+        }
         if confirmed.hosts >= known.hosts || confirmed.at_ms >= known.hosts_at_ms + PEAK_MS {
             known.hosts = confirmed.hosts;
             known.hosts_at_ms = confirmed.hosts_at_ms;
         }
     }
 }
+
+fn to_u32(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- a/crates/coordination/src/ledger/journal.rs
+++ b/crates/coordination/src/ledger/journal.rs
@@ -75,7 +75,15 @@
         self.next_number += 1;
         let bytes = entry_bytes(&entry);
         self.pending_bytes += bytes;
-        self.pending.insert(number, Pending { shard, entry, bytes, next_send_ms: 0 });
+        self.pending.insert(
+            number,
+            Pending {
+                shard,
+                entry,
+                bytes,
+                next_send_ms: 0,
+            },
+        );
         number
     }
 
@@ -88,7 +96,10 @@
             if now_ms >= pending.next_send_ms && submissions.len() < MESSAGE_MAX {
                 pending.next_send_ms = now_ms + RESEND_MS;
                 let entry = pending.entry.clone();
-                submissions.push(message::Submission { number: *number, entry });
+                submissions.push(message::Submission {
+                    number: *number,
+                    entry,
+                });
             }
         }
         by_shard
--- a/crates/coordination/src/ledger/owner.rs
+++ b/crates/coordination/src/ledger/owner.rs
@@ -133,7 +133,10 @@
     /// Whether the shard's log has been read to its end.
     #[must_use]
     pub fn is_loaded(&self) -> bool {
-        !matches!(self.phase, Phase::Idle | Phase::ReadCheckpoint | Phase::ReadLog)
+        !matches!(
+            self.phase,
+            Phase::Idle | Phase::ReadCheckpoint | Phase::ReadLog
+        )
     }
 
     /// The state that the log adds up to, as far as read.
@@ -155,7 +158,10 @@
         for submission in submissions {
             match self.known_verdict(&submission.entry) {
                 Some(verdict) => {
-                    decided.push(message::Decided { number: submission.number, verdict });
+                    decided.push(message::Decided {
+                        number: submission.number,
+                        verdict,
+                    });
                 }
                 None => self.enqueue(from, submission),
             }
@@ -245,19 +251,27 @@
         let count = self.queue.len().min(BATCH_MAX);
         let waiting: Vec<Waiting> = self.queue.drain(..count).collect();
         let entries = waiting.iter().map(|w| w.submission.entry.clone()).collect();
-        let batch =
-            entry::Batch { owner: self.me, nonce: self.next_nonce, at_s: wall_s, entries };
+        let batch = entry::Batch {
+            owner: self.me,
+            nonce: self.next_nonce,
+            at_s: wall_s,
+            entries,
+        };
         self.next_nonce = self.next_nonce.wrapping_add(1);
         let value = postcard::to_stdvec(&batch).unwrap_or_default().into();
-        Write { value, batch, waiting }
+        Write {
+            value,
+            batch,
+            waiting,
+        }
     }
 
     fn next_call(&mut self, effects: &mut Vec<Effect>) -> Option<platform::Call> {
         match &self.phase {
             Phase::Idle | Phase::Ready => None,
-            Phase::ReadCheckpoint => {
-                Some(platform::Call::Read { key: checkpoint_key(self.shard) })
-            }
+            Phase::ReadCheckpoint => Some(platform::Call::Read {
+                key: checkpoint_key(self.shard),
+            }),
             Phase::ReadLog => Some(platform::Call::List {
                 prefix: log_prefix(self.shard),
                 after: self.last_key(),
@@ -267,9 +281,9 @@
                 key: log_key(self.shard, self.state.next),
                 value: Arc::clone(&write.value),
             }),
-            Phase::ReadingBack(_) => {
-                Some(platform::Call::Read { key: log_key(self.shard, self.state.next) })
-            }
+            Phase::ReadingBack(_) => Some(platform::Call::Read {
+                key: log_key(self.shard, self.state.next),
+            }),
             Phase::Checkpointing => self.checkpoint_call(effects),
         }
     }
@@ -284,7 +298,11 @@
         }
         let key = checkpoint_key(self.shard);
         Some(match self.checkpoint_version {
-            Some(version) => platform::Call::Update { key, version, value },
+            Some(version) => platform::Call::Update {
+                key,
+                version,
+                value,
+            },
             None => platform::Call::Create { key, value },
         })
     }
@@ -318,12 +336,7 @@
         self.stay(phase)
     }
 
-    fn take_written(
-        &mut self,
-        write: Write,
-        reply: &platform::Reply,
-        now_ms: u64,
-    ) -> Vec<Effect> {
+    fn take_written(&mut self, write: Write, reply: &platform::Reply, now_ms: u64) -> Vec<Effect> {
         match reply {
             platform::Reply::Written { .. } => self.finish_write(write, now_ms),
             platform::Reply::Conflict => self.stay(Phase::ReadingBack(write)),
@@ -370,11 +383,17 @@
         let verdicts_in_order = self.state.apply(&write.batch);
         for (waiting, verdict) in write.waiting.into_iter().zip(verdicts_in_order) {
             let number = waiting.submission.number;
-            by_host.entry(waiting.from).or_default().push(message::Decided { number, verdict });
+            by_host
+                .entry(waiting.from)
+                .or_default()
+                .push(message::Decided { number, verdict });
         }
         self.next_call_ms = now_ms + WRITE_GAP_MS;
         self.phase = Phase::Ready;
-        by_host.into_iter().flat_map(|(host, decided)| verdicts(host, decided)).collect()
+        by_host
+            .into_iter()
+            .flat_map(|(host, decided)| verdicts(host, decided))
+            .collect()
     }
 
     fn apply_foreign(&mut self, value: &[u8]) {
@@ -397,7 +416,11 @@
 }
 
 fn verdicts(to: identity::HostId, decided: Vec<message::Decided>) -> Vec<Effect> {
-    if decided.is_empty() { Vec::new() } else { vec![Effect::Verdicts { to, decided }] }
+    if decided.is_empty() {
+        Vec::new()
+    } else {
+        vec![Effect::Verdicts { to, decided }]
+    }
 }
 
 /// Prefix of the batches of a shard.
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -178,8 +178,16 @@
         now_ms: u64,
     ) -> Self {
         let me = info.id;
-        let record = Record { info, incarnation: 0, status: Status::Alive, leaving: false };
-        let member = Member { record, since_ms: now_ms };
+        let record = Record {
+            info,
+            incarnation: 0,
+            status: Status::Alive,
+            leaving: false,
+        };
+        let member = Member {
+            record,
+            since_ms: now_ms,
+        };
         let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
         let next_probe_ms = now_ms + rng.random_range(0..PROBE_INTERVAL_MS);
         let next_sync_ms = now_ms + rng.random_range(0..SYNC_INTERVAL_MS);
@@ -207,9 +215,12 @@
 
     /// Members that may be given new work or ownership.
     pub fn eligible(&self) -> impl Iterator<Item = &Record> {
-        self.members.values().map(|member| &member.record).filter(|record| {
-            !record.leaving && matches!(record.status, Status::Alive | Status::Suspect)
-        })
+        self.members
+            .values()
+            .map(|member| &member.record)
+            .filter(|record| {
+                !record.leaving && matches!(record.status, Status::Alive | Status::Suspect)
+            })
     }
 
     /// Ids of the members that may be given new work or ownership.
@@ -220,7 +231,9 @@
     /// The address of a member.
     #[must_use]
     pub fn address_of(&self, host: identity::HostId) -> Option<net::SocketAddr> {
-        self.members.get(&host).map(|member| member.record.info.peer_address)
+        self.members
+            .get(&host)
+            .map(|member| member.record.info.peer_address)
     }
 
     /// Picks up to `count` other members that are not dead.
@@ -256,7 +269,8 @@
         let mut effects = self.notice_pause(now_ms);
         self.check_probe(now_ms, &mut effects);
         self.expire_suspects(now_ms, &mut effects);
-        self.relays.retain(|_, relay| now_ms < relay.sent_ms + PROBE_INTERVAL_MS);
+        self.relays
+            .retain(|_, relay| now_ms < relay.sent_ms + PROBE_INTERVAL_MS);
         if now_ms >= self.next_probe_ms {
             self.next_probe_ms = now_ms + PROBE_INTERVAL_MS;
             self.start_probe(now_ms, &mut effects);
@@ -292,15 +306,14 @@
     }
 
     /// Takes a message from the host at `from`.
-    pub fn receive(
-        &mut self,
-        from: net::SocketAddr,
-        message: Message,
-        now_ms: u64,
-    ) -> Vec<Effect> {
+    pub fn receive(&mut self, from: net::SocketAddr, message: Message, now_ms: u64) -> Vec<Effect> {
         let mut effects = Vec::new();
         match message {
-            Message::Ping { target, nonce, updates } => {
+            Message::Ping {
+                target,
+                nonce,
+                updates,
+            } => {
                 self.merge(updates, now_ms, &mut effects);
                 self.answer_ping(from, target, nonce, &mut effects);
             }
@@ -311,10 +324,16 @@
             Message::PingRequest { nonce, target } => {
                 self.relay_ping(from, nonce, target, now_ms, &mut effects);
             }
-            Message::Sync { records, wants_reply } => {
+            Message::Sync {
+                records,
+                wants_reply,
+            } => {
                 self.merge(records, now_ms, &mut effects);
                 if wants_reply {
-                    let message = Message::Sync { records: self.records(), wants_reply: false };
+                    let message = Message::Sync {
+                        records: self.records(),
+                        wants_reply: false,
+                    };
                     effects.push(Effect::Send { to: from, message });
                 }
             }
@@ -330,7 +349,10 @@
     }
 
     fn records(&self) -> Vec<Record> {
-        self.members.values().map(|member| member.record.clone()).collect()
+        self.members
+            .values()
+            .map(|member| member.record.clone())
+            .collect()
     }
 
     fn check_probe(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
@@ -355,21 +377,47 @@
         if let Some(address) = self.address_of(target) {
             effects.push(Effect::Reconnect { address });
             let updates = self.take_updates();
-            let message = Message::Ping { target, nonce, updates };
-            effects.push(Effect::Send { to: address, message });
+            let message = Message::Ping {
+                target,
+                nonce,
+                updates,
+            };
+            effects.push(Effect::Send {
+                to: address,
+                message,
+            });
         }
         for to in self.sample(INDIRECT_PROBES) {
-            effects.push(Effect::Send { to, message: Message::PingRequest { nonce, target } });
+            effects.push(Effect::Send {
+                to,
+                message: Message::PingRequest { nonce, target },
+            });
         }
     }
 
     fn start_probe(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
-        let Some(target) = self.next_target() else { return };
-        let Some(to) = self.address_of(target) else { return };
+        let Some(target) = self.next_target() else {
+            return;
+        };
+        let Some(to) = self.address_of(target) else {
+            return;
+        };
         let nonce = self.rng.random_range(1..u64::MAX);
         let updates = self.take_updates();
-        effects.push(Effect::Send { to, message: Message::Ping { target, nonce, updates } });
-        self.probe = Some(Probe { nonce, target, sent_ms: now_ms, is_indirect: false });
+        effects.push(Effect::Send {
+            to,
+            message: Message::Ping {
+                target,
+                nonce,
+                updates,
+            },
+        });
+        self.probe = Some(Probe {
+            nonce,
+            target,
+            sent_ms: now_ms,
+            is_indirect: false,
+        });
     }
 
     /// Takes members in a random order that is drawn anew once all had their turn.
@@ -382,8 +430,10 @@
                 rand::seq::SliceRandom::shuffle(self.probe_order.as_mut_slice(), &mut self.rng);
             }
             let target = self.probe_order.pop()?;
-            let is_probed =
-                self.members.get(&target).is_some_and(|m| m.record.status != Status::Dead);
+            let is_probed = self
+                .members
+                .get(&target)
+                .is_some_and(|m| m.record.status != Status::Dead);
             if is_probed {
                 return Some(target);
             }
@@ -403,18 +453,31 @@
             self.send_sync(&[from], effects);
         } else if nonce != 0 {
             let updates = self.take_updates();
-            effects.push(Effect::Send { to: from, message: Message::Ack { nonce, updates } });
+            effects.push(Effect::Send {
+                to: from,
+                message: Message::Ack { nonce, updates },
+            });
         }
     }
 
     fn take_ack(&mut self, nonce: u64, now_ms: u64, effects: &mut Vec<Effect>) {
         if let Some(relay) = self.relays.remove(&nonce) {
-            let message = Message::Ack { nonce: relay.nonce, updates: Vec::new() };
-            effects.push(Effect::Send { to: relay.from, message });
+            let message = Message::Ack {
+                nonce: relay.nonce,
+                updates: Vec::new(),
+            };
+            effects.push(Effect::Send {
+                to: relay.from,
+                message,
+            });
             return;
         }
-        let Some(probe) = self.probe.take_if(|probe| probe.nonce == nonce) else { return };
-        effects.push(Effect::Acked { sent_ms: probe.sent_ms });
+        let Some(probe) = self.probe.take_if(|probe| probe.nonce == nonce) else {
+            return;
+        };
+        effects.push(Effect::Acked {
+            sent_ms: probe.sent_ms,
+        });
         // An answer clears one's own suspicion; the member's refutation clears that of others.
         if let Some(member) = self.members.get_mut(&probe.target)
             && member.record.status == Status::Suspect
@@ -424,7 +487,11 @@
             let record = self.members[&probe.target].record.clone();
             let to = record.info.peer_address;
             let target = record.info.id;
-            let message = Message::Ping { target, nonce: 0, updates: vec![record] };
+            let message = Message::Ping {
+                target,
+                nonce: 0,
+                updates: vec![record],
+            };
             effects.push(Effect::Send { to, message });
         }
     }
@@ -437,17 +504,35 @@
         now_ms: u64,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(to) = self.address_of(target) else { return };
+        let Some(to) = self.address_of(target) else {
+            return;
+        };
         let own = self.rng.random_range(1..u64::MAX);
-        self.relays.insert(own, Relay { nonce, from, sent_ms: now_ms });
-        let message = Message::Ping { target, nonce: own, updates: Vec::new() };
+        self.relays.insert(
+            own,
+            Relay {
+                nonce,
+                from,
+                sent_ms: now_ms,
+            },
+        );
+        let message = Message::Ping {
+            target,
+            nonce: own,
+            updates: Vec::new(),
+        };
         effects.push(Effect::Send { to, message });
     }
 
     fn suspect(&mut self, target: identity::HostId, now_ms: u64, effects: &mut Vec<Effect>) {
-        let Some(member) = self.members.get(&target) else { return };
+        let Some(member) = self.members.get(&target) else {
+            return;
+        };
         if matches!(member.record.status, Status::Alive | Status::Leaving) {
-            let record = Record { status: Status::Suspect, ..member.record.clone() };
+            let record = Record {
+                status: Status::Suspect,
+                ..member.record.clone()
+            };
             self.adopt(record, now_ms, effects);
         }
     }
@@ -458,7 +543,10 @@
             .members
             .values()
             .filter(|m| m.record.status == Status::Suspect && now_ms >= m.since_ms + limit_ms)
-            .map(|m| Record { status: Status::Dead, ..m.record.clone() })
+            .map(|m| Record {
+                status: Status::Dead,
+                ..m.record.clone()
+            })
             .collect();
         for record in expired {
             self.adopt(record, now_ms, effects);
@@ -485,7 +573,10 @@
 
     fn send_sync(&self, peers: &[net::SocketAddr], effects: &mut Vec<Effect>) {
         for to in peers {
-            let message = Message::Sync { records: self.records(), wants_reply: true };
+            let message = Message::Sync {
+                records: self.records(),
+                wants_reply: true,
+            };
             effects.push(Effect::Send { to: *to, message });
         }
     }
@@ -501,7 +592,9 @@
     }
 
     fn refute(&mut self, record: &Record, now_ms: u64) {
-        let Some(me) = self.members.get(&self.me) else { return };
+        let Some(me) = self.members.get(&self.me) else {
+            return;
+        };
         let is_doubted = matches!(record.status, Status::Suspect | Status::Dead);
         if is_doubted && record.incarnation >= me.record.incarnation {
             let leaving = me.record.leaving;
@@ -516,14 +609,20 @@
         if let Some(me) = self.members.get_mut(&self.me) {
             me.record.incarnation += 1;
             me.record.leaving = leaving;
-            me.record.status = if leaving { Status::Leaving } else { Status::Alive };
+            me.record.status = if leaving {
+                Status::Leaving
+            } else {
+                Status::Alive
+            };
             me.since_ms = now_ms.max(me.since_ms);
         }
         self.rumours.insert(self.me, 0);
     }
 
     fn outranks(&self, record: &Record) -> bool {
-        let Some(known) = self.members.get(&record.info.id) else { return true };
+        let Some(known) = self.members.get(&record.info.id) else {
+            return true;
+        };
         let rank = |record: &Record| (record.incarnation, record.status);
         rank(record).cmp(&rank(&known.record)) == cmp::Ordering::Greater
     }
@@ -542,7 +641,13 @@
         if known.is_none() && status == Status::Dead {
             return;
         }
-        self.members.insert(host, Member { record, since_ms: now_ms });
+        self.members.insert(
+            host,
+            Member {
+                record,
+                since_ms: now_ms,
+            },
+        );
         self.rumours.insert(host, 0);
         if known != Some(status) {
             effects.push(Effect::Changed { host, status });
@@ -551,11 +656,14 @@
 
     /// Whether a later start is known under the same address.
     fn is_replaced(&self, record: &Record) -> bool {
-        self.members.values().map(|member| &member.record.info).any(|other| {
-            other.id != record.info.id
-                && other.peer_address == record.info.peer_address
-                && other.started_ms > record.info.started_ms
-        })
+        self.members
+            .values()
+            .map(|member| &member.record.info)
+            .any(|other| {
+                other.id != record.info.id
+                    && other.peer_address == record.info.peer_address
+                    && other.started_ms > record.info.started_ms
+            })
     }
 
     /// A later start under the same address proves that the earlier run is over.
@@ -571,7 +679,10 @@
                     && old.info.started_ms < record.info.started_ms
                     && old.status != Status::Dead
             })
-            .map(|old| Record { status: Status::Dead, ..old.clone() })
+            .map(|old| Record {
+                status: Status::Dead,
+                ..old.clone()
+            })
             .collect();
         for old in replaced {
             self.adopt(old, now_ms, effects);
@@ -581,8 +692,11 @@
     /// Takes the least-told rumours and counts them as told once more.
     fn take_updates(&mut self) -> Vec<Record> {
         let tellings_max = 3 * ((self.members.len() + 1).ilog2() + 1);
-        let mut told: Vec<(u32, identity::HostId)> =
-            self.rumours.iter().map(|(host, count)| (*count, *host)).collect();
+        let mut told: Vec<(u32, identity::HostId)> = self
+            .rumours
+            .iter()
+            .map(|(host, count)| (*count, *host))
+            .collect();
         told.sort_unstable();
         told.truncate(UPDATES_MAX);
         let mut updates = Vec::new();
--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -96,7 +96,9 @@
         Self {
             objects: collections::BTreeMap::new(),
             position: Position::default(),
-            stage: Stage::List { after: String::new() },
+            stage: Stage::List {
+                after: String::new(),
+            },
             listed_version: 0,
             asked_ms: None,
             next_ask_ms: now_ms,
@@ -138,7 +140,9 @@
 
     /// Takes the platform's reply to the call in flight.
     pub fn reply(&mut self, reply: platform::Reply, now_ms: u64) -> Vec<Effect> {
-        let Some(asked_ms) = self.asked_ms.take() else { return Vec::new() };
+        let Some(asked_ms) = self.asked_ms.take() else {
+            return Vec::new();
+        };
         let platform::Reply::Listing { objects, version } = reply else {
             self.next_ask_ms = now_ms + self.retry_ms;
             self.retry_ms = (self.retry_ms * 2).min(RETRY_MAX_MS);
@@ -157,9 +161,16 @@
     pub fn receive(&mut self, from: net::SocketAddr, message: Message) -> Vec<Effect> {
         match message {
             Message::Fetch { after } => {
-                let objects =
-                    self.objects.values().filter(|o| o.version > after).cloned().collect();
-                vec![Effect::Send { to: from, message: Message::Objects(objects) }]
+                let objects = self
+                    .objects
+                    .values()
+                    .filter(|o| o.version > after)
+                    .cloned()
+                    .collect();
+                vec![Effect::Send {
+                    to: from,
+                    message: Message::Objects(objects),
+                }]
             }
             Message::Objects(objects) => self.take_and_spread(objects),
         }
@@ -183,7 +194,10 @@
         } else {
             return Vec::new();
         };
-        vec![Effect::Send { to: from, message: Message::Fetch { after } }]
+        vec![Effect::Send {
+            to: from,
+            message: Message::Fetch { after },
+        }]
     }
 
     fn take_and_spread(&mut self, objects: Vec<platform::Object>) -> Vec<Effect> {
@@ -191,7 +205,10 @@
         if changed.is_empty() {
             return Vec::new();
         }
-        vec![Effect::Spread(Message::Objects(changed.clone())), Effect::Changed(changed)]
+        vec![
+            Effect::Spread(Message::Objects(changed.clone())),
+            Effect::Changed(changed),
+        ]
     }
 
     fn call(&self, duty: replica::Duty) -> platform::Call {
@@ -220,9 +237,9 @@
                     self.listed_version = version;
                 }
                 self.stage = match objects.last() {
-                    Some(last) if objects.len() >= LIST_LIMIT as usize => {
-                        Stage::List { after: last.key.clone() }
-                    }
+                    Some(last) if objects.len() >= LIST_LIMIT as usize => Stage::List {
+                        after: last.key.clone(),
+                    },
                     _ => Stage::Watch,
                 };
             }
@@ -233,7 +250,10 @@
     fn take(&mut self, objects: Vec<platform::Object>) -> Vec<platform::Object> {
         let mut changed = Vec::new();
         for object in objects {
-            let known = self.objects.get(object.key.as_str()).map(|known| known.version);
+            let known = self
+                .objects
+                .get(object.key.as_str())
+                .map(|known| known.version);
             if known.is_some_and(|version| version >= object.version) {
                 continue;
             }
@@ -242,7 +262,8 @@
             }
             self.position.digest ^= object_digest(&object.key, object.version);
             self.position.version = self.position.version.max(object.version);
-            self.objects.insert(Arc::from(object.key.as_str()), object.clone());
+            self.objects
+                .insert(Arc::from(object.key.as_str()), object.clone());
             changed.push(object);
         }
         changed
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -209,13 +209,18 @@
             (Stage::Settled, Duty::Listen) if is_silent => AskedKind::Log,
             (Stage::Settled, Duty::Listen) => return Vec::new(),
         };
-        self.asked = Some(Asked { at_ms: now_ms, kind });
+        self.asked = Some(Asked {
+            at_ms: now_ms,
+            kind,
+        });
         vec![Effect::Call(self.call(kind))]
     }
 
     /// Takes the platform's reply to the call in flight.
     pub fn reply(&mut self, reply: platform::Reply, now_ms: u64) -> Vec<Effect> {
-        let Some(asked) = self.asked.take() else { return Vec::new() };
+        let Some(asked) = self.asked.take() else {
+            return Vec::new();
+        };
         match (asked.kind, reply) {
             (AskedKind::Snapshot, platform::Reply::Found(object)) => {
                 self.stage = Stage::Log;
@@ -249,7 +254,10 @@
     ) -> Vec<Effect> {
         match message {
             Message::Fetch { have } => {
-                vec![Effect::Send { to: from, message: self.answer_to(have) }]
+                vec![Effect::Send {
+                    to: from,
+                    message: self.answer_to(have),
+                }]
             }
             Message::Changes(changes) => {
                 self.note_answer(from, others);
@@ -269,7 +277,9 @@
         let is_behind = revision > self.snapshot.revision;
         let is_starting = !self.is_ready && !self.answered.contains(&from);
         if is_behind || is_starting {
-            let message = Message::Fetch { have: self.snapshot.revision };
+            let message = Message::Fetch {
+                have: self.snapshot.revision,
+            };
             return vec![Effect::Send { to: from, message }];
         }
         Vec::new()
@@ -277,7 +287,9 @@
 
     fn call(&self, kind: AskedKind) -> platform::Call {
         match kind {
-            AskedKind::Snapshot => platform::Call::Read { key: SNAPSHOT_KEY.to_owned() },
+            AskedKind::Snapshot => platform::Call::Read {
+                key: SNAPSHOT_KEY.to_owned(),
+            },
             AskedKind::Log => platform::Call::List {
                 prefix: LOG_PREFIX.to_owned(),
                 after: log_key(self.snapshot.revision),
@@ -298,8 +310,10 @@
         asked_ms: u64,
         now_ms: u64,
     ) -> Vec<Effect> {
-        let changes: Vec<Change> =
-            objects.iter().filter_map(|object| serde_json::from_slice(&object.value).ok()).collect();
+        let changes: Vec<Change> = objects
+            .iter()
+            .filter_map(|object| serde_json::from_slice(&object.value).ok())
+            .collect();
         let is_whole = changes.len() == objects.len();
         let mut effects = self.take_changes(changes);
         let has_mismatch = effects.iter().any(|e| matches!(e, Effect::Mismatch { .. }));
@@ -324,7 +338,9 @@
                 continue;
             }
             if !self.apply(&change) {
-                return vec![Effect::Mismatch { revision: change.revision }];
+                return vec![Effect::Mismatch {
+                    revision: change.revision,
+                }];
             }
             taken.push(change);
         }
@@ -332,7 +348,9 @@
             return Vec::new();
         }
         vec![
-            Effect::Advanced { revision: self.snapshot.revision },
+            Effect::Advanced {
+                revision: self.snapshot.revision,
+            },
             Effect::Spread(Message::Changes(taken)),
         ]
     }
@@ -347,7 +365,10 @@
         if parts.digest() != change.digest {
             return false;
         }
-        self.snapshot = Snapshot { revision: change.revision, parts };
+        self.snapshot = Snapshot {
+            revision: change.revision,
+            parts,
+        };
         self.digest = change.digest;
         self.history.push_back(change.clone());
         if self.history.len() > HISTORY_MAX {
@@ -371,7 +392,10 @@
         if have >= self.snapshot.revision {
             return Message::Changes(Vec::new());
         }
-        let reaches_back = self.history.front().is_some_and(|first| first.revision <= have + 1);
+        let reaches_back = self
+            .history
+            .front()
+            .is_some_and(|first| first.revision <= have + 1);
         if reaches_back {
             let later = self.history.iter().filter(|change| change.revision > have);
             return Message::Changes(later.cloned().collect());
@@ -381,8 +405,13 @@
 
     fn fetch_after_mismatch(&self, from: net::SocketAddr, effects: Vec<Effect>) -> Vec<Effect> {
         let mut effects = effects;
-        if effects.iter().any(|effect| matches!(effect, Effect::Mismatch { .. })) {
-            let message = Message::Fetch { have: self.snapshot.revision };
+        if effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Mismatch { .. }))
+        {
+            let message = Message::Fetch {
+                have: self.snapshot.revision,
+            };
             effects.push(Effect::Send { to: from, message });
         }
         effects
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -110,7 +110,9 @@
 
     /// All counts that are not zero.
     pub fn iter(&self) -> impl Iterator<Item = (Counter, u64)> {
-        self.counts.iter().map(|(counter, count)| (*counter, *count))
+        self.counts
+            .iter()
+            .map(|(counter, count)| (*counter, *count))
     }
 
     /// Refusals by reason.
--- a/crates/core/src/envelope.rs
+++ b/crates/core/src/envelope.rs
@@ -31,7 +31,9 @@
 /// Why keys cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(thiserror::Error)]
-#[error("line {line}: expected `id:secret` with an id from 0 to 255 and a secret of 16 bytes or more")]
+#[error(
+    "line {line}: expected `id:secret` with an id from 0 to 255 and a secret of 16 bytes or more"
+)]
 pub struct KeysError {
     line: usize,
 }
@@ -76,16 +78,25 @@
             if secret.len() < 16 {
                 return Err(error);
             }
-            keys.push(Key { id, secret: secret.as_bytes().into() });
+            keys.push(Key {
+                id,
+                secret: secret.as_bytes().into(),
+            });
+        }
+        if keys.is_empty() {
+            Err(KeysError { line: 1 })
+        } else {
+            Ok(Self(Arc::new(keys)))
         }
-        if keys.is_empty() { Err(KeysError { line: 1 }) } else { Ok(Self(Arc::new(keys))) }
     }
 }
 
 impl fmt::Debug for Keys {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let ids: Vec<u8> = self.0.iter().map(|key| key.id).collect();
-        f.debug_struct("Keys").field("ids", &ids).finish_non_exhaustive()
+        f.debug_struct("Keys")
+            .field("ids", &ids)
+            .finish_non_exhaustive()
     }
 }
 
@@ -106,8 +117,14 @@
     /// [`EnvelopeError`] if they are cut off or no known key signed them.
     pub fn verify<'a>(&self, context: &str, signed: &'a [u8]) -> Result<&'a [u8], EnvelopeError> {
         let (id, rest) = signed.split_first().ok_or(EnvelopeError::Malformed)?;
-        let (given, bytes) = rest.split_at_checked(CODE_BYTES).ok_or(EnvelopeError::Malformed)?;
-        let key = self.0.iter().find(|key| key.id == *id).ok_or(EnvelopeError::Unauthentic)?;
+        let (given, bytes) = rest
+            .split_at_checked(CODE_BYTES)
+            .ok_or(EnvelopeError::Malformed)?;
+        let key = self
+            .0
+            .iter()
+            .find(|key| key.id == *id)
+            .ok_or(EnvelopeError::Unauthentic)?;
         mac(key, context, bytes)
             .verify_truncated_left(given)
             .map_err(|_| EnvelopeError::Unauthentic)?;
--- a/crates/core/src/host/addresses.rs
+++ b/crates/core/src/host/addresses.rs
@@ -35,7 +35,11 @@
             })
             .collect();
         ranked.sort_unstable();
-        ranked.into_iter().map(|(_, _, address)| address).take(ADDRESSES_MAX).collect()
+        ranked
+            .into_iter()
+            .map(|(_, _, address)| address)
+            .take(ADDRESSES_MAX)
+            .collect()
     }
 
     pub(super) fn member_views(&self) -> Vec<view::MemberView> {
@@ -57,26 +61,31 @@
         if self.life != Life::Serving {
             return;
         }
-        self.life = Life::Leaving { since_ms: self.now.mono_ms };
+        self.life = Life::Leaving {
+            since_ms: self.now.mono_ms,
+        };
         let effects = self.membership.leave();
         self.apply_membership(effects);
         self.is_membership_changed = true;
-        self.log(action::Level::Info, "graceful shutdown has begun".to_owned());
+        self.log(
+            action::Level::Info,
+            "graceful shutdown has begun".to_owned(),
+        );
     }
 
     /// Whether new requests are refused: only once no caller holds this address any more.
     pub(super) fn refuses_as_stopping(&self) -> bool {
         match self.life {
             Life::Serving => false,
-            Life::Leaving { since_ms } => {
-                self.now.mono_ms >= since_ms + self.config.address_ttl_ms
-            }
+            Life::Leaving { since_ms } => self.now.mono_ms >= since_ms + self.config.address_ttl_ms,
             Life::Stopped => true,
         }
     }
 
     pub(super) fn check_stopped(&mut self) {
-        let Life::Leaving { since_ms } = self.life else { return };
+        let Life::Leaving { since_ms } = self.life else {
+            return;
+        };
         let age_ms = self.now.mono_ms - since_ms;
         let has_work = !self.requests.is_empty()
             || !self.journal.is_empty()
--- a/crates/core/src/host/coordination.rs
+++ b/crates/core/src/host/coordination.rs
@@ -63,6 +63,8 @@
         let effects = self.membership.tick(self.now.mono_ms);
         self.apply_membership(effects);
         self.update_ownership();
+        let heard = self.hosts_heard();
+        self.freshness.tick(self.now.mono_ms, heard);
         let duty = self.duty();
         let age_ms = self.freshness.age_ms(self.now.mono_ms);
         let effects = self.replica.tick(duty, age_ms, self.now.mono_ms);
@@ -144,7 +146,10 @@
 
     pub(super) fn spread(&mut self, message: &message::Message) {
         for to in self.membership.sample(replica::FANOUT) {
-            self.act(action::Action::SendPeer { to, message: message.clone() });
+            self.act(action::Action::SendPeer {
+                to,
+                message: message.clone(),
+            });
         }
     }
 
@@ -177,7 +182,8 @@
     }
 
     fn standing(&self) -> freshness::Standing {
-        self.freshness.standing(self.now.mono_ms, self.hosts_heard())
+        self.freshness
+            .standing(self.now.mono_ms, self.hosts_heard())
     }
 
     fn on_gossip(
@@ -194,32 +200,43 @@
         self.apply_membership(effects);
         if let Some(sent_ms) = acked_ms {
             self.confirmations.told = Some(Told { position, sent_ms });
-            self.freshness.hear(None, sent_ms);
+            self.freshness.contact(sent_ms);
             self.take_told();
         }
         let effects = self.replica.hear_revision(from, position.revision);
         self.apply_replica(effects);
-        let effects = self.registry.hear_position(from, position.status, self.now.mono_ms);
+        let effects = self
+            .registry
+            .hear_position(from, position.status, self.now.mono_ms);
         self.apply_registry(effects);
     }
 
     /// The platform's own word counts from the older of its two replies on.
     fn confirm(&mut self) {
-        let Confirmations { configuration_ms, status_ms, .. } = self.confirmations;
+        let Confirmations {
+            configuration_ms,
+            status_ms,
+            ..
+        } = self.confirmations;
         if let (Some(configuration_ms), Some(status_ms)) = (configuration_ms, status_ms) {
             let heard = self.hosts_heard();
-            self.freshness.confirm(configuration_ms.min(status_ms), heard);
+            let asked_ms = configuration_ms.min(status_ms);
+            self.freshness.confirm(asked_ms, heard);
         }
     }
 
     /// A peer's confirmation counts once this host has what the peer had.
     fn take_told(&mut self) {
-        let Some(told) = self.confirmations.told else { return };
+        let Some(told) = self.confirmations.told else {
+            return;
+        };
         let has_revision = self.replica.revision() >= told.position.revision;
         let has_status = self.registry.position().version >= told.position.status.version;
         if has_revision && has_status {
             self.confirmations.told = None;
-            self.freshness.hear(told.position.confirmation, told.sent_ms);
+            if let Some(confirmation) = told.position.confirmation {
+                self.freshness.catch_up(confirmation, told.sent_ms);
+            }
         }
     }
 
@@ -230,9 +247,10 @@
     }
 
     fn send_gossip(&mut self, to: net::SocketAddr, message: membership::Message) {
+        let heard = self.hosts_heard();
         let position = message::Position {
             revision: self.replica.revision(),
-            confirmation: self.freshness.confirmation(self.now.mono_ms),
+            confirmation: self.freshness.confirmation(self.now.mono_ms, heard),
             status: self.registry.position(),
         };
         let message = message::Message::Gossip { message, position };
@@ -254,9 +272,12 @@
     fn on_paused(&mut self, gap_ms: u64) {
         self.counters.add(counter::Counter::Paused);
         self.confirmations = Confirmations::default();
-        self.freshness.lapse(self.now.mono_ms, self.membership.suspicion_ms());
+        self.freshness.lapse(self.now.mono_ms);
         self.vault.restart_delays(self.now.mono_ms);
-        self.log(action::Level::Warn, format!("this host was paused for {gap_ms} ms"));
+        self.log(
+            action::Level::Warn,
+            format!("this host was paused for {gap_ms} ms"),
+        );
     }
 
     /// The hosts that rank first in each data centre watch; a leaving host no longer does.
@@ -312,7 +333,10 @@
             Ok(document) => {
                 self.catalogue = catalogue::Catalogue::new(document);
                 self.catalogue_revision = revision;
-                self.log(action::Level::Info, format!("revision {revision} is in force"));
+                self.log(
+                    action::Level::Info,
+                    format!("revision {revision} is in force"),
+                );
             }
             Err(findings) => {
                 self.breach(&format!("revision {revision} has findings: {findings}"));
@@ -331,7 +355,10 @@
                     self.spread(&message::Message::Registry(message));
                 }
                 registry::Effect::Call(call) => {
-                    self.act(action::Action::CallPlatform { id: action::CallId::Status, call });
+                    self.act(action::Action::CallPlatform {
+                        id: action::CallId::Status,
+                        call,
+                    });
                 }
                 registry::Effect::Changed(objects) => self.on_status(&objects),
                 registry::Effect::Confirmed { asked_ms } => {
--- a/crates/core/src/host/ledger.rs
+++ b/crates/core/src/host/ledger.rs
@@ -63,15 +63,20 @@
         let me = self.id();
         for outgoing in self.journal.due(self.now.mono_ms) {
             let shard = outgoing.shard as usize;
-            let Some(owner) = self.shard_owners.get(shard).copied().flatten() else { continue };
+            let Some(owner) = self.shard_owners.get(shard).copied().flatten() else {
+                continue;
+            };
             if owner == me {
                 let effects = self.owners[shard].submit(me, outgoing.submissions);
                 self.apply_owner(shard, effects);
             } else if let Some(to) = self.membership.address_of(owner) {
-                self.send_ledger(to, ledger_message::Message::Submit {
-                    shard: outgoing.shard,
-                    submissions: outgoing.submissions,
-                });
+                self.send_ledger(
+                    to,
+                    ledger_message::Message::Submit {
+                        shard: outgoing.shard,
+                        submissions: outgoing.submissions,
+                    },
+                );
             }
         }
     }
@@ -81,7 +86,9 @@
         if self.now.mono_ms < self.next_flush_ms {
             return;
         }
-        let Some((backup, notes)) = self.notes.due(self.now.mono_ms) else { return };
+        let Some((backup, notes)) = self.notes.due(self.now.mono_ms) else {
+            return;
+        };
         self.next_flush_ms = self.now.mono_ms + FLUSH_MS;
         if let Some(to) = self.membership.address_of(backup) {
             self.send_ledger(to, notes);
@@ -129,7 +136,9 @@
 
     pub(super) fn on_shard_reply(&mut self, shard: u32, reply: platform::Reply) {
         let now_ms = self.now.mono_ms;
-        let Some(owner) = self.owners.get_mut(shard as usize) else { return };
+        let Some(owner) = self.owners.get_mut(shard as usize) else {
+            return;
+        };
         let effects = owner.reply(reply, now_ms);
         self.apply_owner(shard as usize, effects);
         self.tick_shard(shard as usize);
@@ -146,7 +155,9 @@
         sender: identity::HostId,
         submissions: Vec<ledger_message::Submission>,
     ) {
-        let Some(owner) = self.owners.get_mut(shard as usize) else { return };
+        let Some(owner) = self.owners.get_mut(shard as usize) else {
+            return;
+        };
         let effects = owner.submit(sender, submissions);
         self.apply_owner(shard as usize, effects);
         self.tick_shard(shard as usize);
@@ -185,7 +196,9 @@
 
     fn on_verdicts(&mut self, decided: Vec<ledger_message::Decided>) {
         for decided in decided {
-            let Some(entry) = self.journal.decide(decided.number) else { continue };
+            let Some(entry) = self.journal.decide(decided.number) else {
+                continue;
+            };
             match entry {
                 entry::Entry::Claim { key, claim, .. } => {
                     self.on_claim_verdict(key, claim, decided.verdict);
@@ -211,7 +224,12 @@
             let info = &record.info;
             let is_staying = !record.leaving;
             let is_apart = info.data_centre != me.data_centre;
-            (is_staying, is_apart, info.region == me.region, rendezvous::weight(me.id.0, info.id))
+            (
+                is_staying,
+                is_apart,
+                info.region == me.region,
+                rendezvous::weight(me.id.0, info.id),
+            )
         };
         self.membership
             .members()
--- a/crates/core/src/host/routing.rs
+++ b/crates/core/src/host/routing.rs
@@ -46,7 +46,12 @@
         let found = self.catalogue.organisation(&head.key_sha256);
         let (organisation_name, organisation) = found.ok_or(refusal::Reason::Unauthorised)?;
         let organisation_name = organisation_name.clone();
-        let mut work = resolve(self.catalogue.document(), &organisation_name, organisation, head)?;
+        let mut work = resolve(
+            self.catalogue.document(),
+            &organisation_name,
+            organisation,
+            head,
+        )?;
         let pinned = self.session_of(head, &organisation_name)?;
         let deadline_ms = self.now.mono_ms.saturating_add(head.deadline_ms);
         self.choose_start(&mut work, head.deadline_ms);
@@ -85,7 +90,9 @@
             slots,
             excluded: &plan.excluded,
         };
-        let choice = self.balancer.choose(wanted, self.now.mono_ms, &mut self.rng);
+        let choice = self
+            .balancer
+            .choose(wanted, self.now.mono_ms, &mut self.rng);
         let server = match choice {
             balance::Choice::Server(server) => server,
             balance::Choice::Full => {
@@ -99,7 +106,13 @@
         };
         let session_token = plan.has_session.then(|| self.token(plan));
         let is_held = is_held(&plan.work);
-        Ok(Route { server, item: need.item, progress_ms, is_held, session_token })
+        Ok(Route {
+            server,
+            item: need.item,
+            progress_ms,
+            is_held,
+            session_token,
+        })
     }
 
     /// Notes how long an answer of a model took.
@@ -111,7 +124,10 @@
     fn need(&self, plan: &mut request::Plan) -> Result<Need, refusal::Reason> {
         match &plan.work {
             request::Work::Model { stages, stage, .. } => {
-                let model = stages.get(*stage).ok_or(refusal::Reason::NotAllowed)?.clone();
+                let model = stages
+                    .get(*stage)
+                    .ok_or(refusal::Reason::NotAllowed)?
+                    .clone();
                 self.need_of_model(plan, &model)
             }
             request::Work::Service { name, .. } => self.need_of_service(plan, name),
@@ -124,7 +140,10 @@
         model: &name::Name,
     ) -> Result<Need, refusal::Reason> {
         let document = self.catalogue.document();
-        let entry = document.models.get(model).ok_or(refusal::Reason::NotAllowed)?;
+        let entry = document
+            .models
+            .get(model)
+            .ok_or(refusal::Reason::NotAllowed)?;
         let organisation = document
             .organisations
             .get(&plan.organisation)
@@ -146,7 +165,11 @@
         }
         let item = Arc::from(format!("{model}@{version}"));
         plan.pins.insert(model.clone(), version);
-        Ok(Need { pool: entry.pool.clone(), item, needs_loaded: true })
+        Ok(Need {
+            pool: entry.pool.clone(),
+            item,
+            needs_loaded: true,
+        })
     }
 
     fn need_of_service(
@@ -162,7 +185,11 @@
         let service = document.services.get(name).filter(|_| is_allowed);
         let service = service.ok_or(refusal::Reason::NotAllowed)?;
         let item = Arc::from(name.as_str());
-        Ok(Need { pool: service.pool.clone(), item, needs_loaded: false })
+        Ok(Need {
+            pool: service.pool.clone(),
+            item,
+            needs_loaded: false,
+        })
     }
 
     fn check_poison(&mut self, content: u64) -> Result<(), refusal::Reason> {
@@ -202,12 +229,24 @@
             event::Session::None => self.rng.random(),
         };
         let pins = collections::BTreeMap::new();
-        Ok(session::Token { organisation: organisation.clone(), session_hash, pins })
+        Ok(session::Token {
+            organisation: organisation.clone(),
+            session_hash,
+            pins,
+        })
     }
 
     /// Chooses the stage to start at; without ratings only the strongest meets the target.
     fn choose_start(&mut self, work: &mut request::Work, left_ms: u64) {
-        let request::Work::Model { stages, stage, kind: Some(kind), .. } = work else { return };
+        let request::Work::Model {
+            stages,
+            stage,
+            kind: Some(kind),
+            ..
+        } = work
+        else {
+            return;
+        };
         if !self.config.has_rating {
             *stage = stages.len().saturating_sub(1);
             return;
@@ -220,7 +259,11 @@
                     .models
                     .get(model)
                     .map_or(0, |entry| entry.cost_microcents_per_kilotoken),
-                answer_ms: self.answer_ms.get(model).copied().unwrap_or(ANSWER_DEFAULT_MS),
+                answer_ms: self
+                    .answer_ms
+                    .get(model)
+                    .copied()
+                    .unwrap_or(ANSWER_DEFAULT_MS),
             })
             .collect();
         *stage = self.cascades.start(kind, &infos, left_ms);
@@ -230,9 +273,12 @@
 /// Whether an answer is held to be rated: only the last stage streams.
 fn is_held(work: &request::Work) -> bool {
     match work {
-        request::Work::Model { stages, stage, kind, .. } => {
-            kind.is_some() && stage + 1 < stages.len()
-        }
+        request::Work::Model {
+            stages,
+            stage,
+            kind,
+            ..
+        } => kind.is_some() && stage + 1 < stages.len(),
         request::Work::Service { .. } => false,
     }
 }
@@ -268,8 +314,14 @@
             kind: None,
         });
     }
-    let name = organisation.cascades.get(target).ok_or(refusal::Reason::NotAllowed)?;
-    let cascade = document.cascades.get(name).ok_or(refusal::Reason::NotAllowed)?;
+    let name = organisation
+        .cascades
+        .get(target)
+        .ok_or(refusal::Reason::NotAllowed)?;
+    let cascade = document
+        .cascades
+        .get(name)
+        .ok_or(refusal::Reason::NotAllowed)?;
     let stages = cascade::usable_stages(document, organisation, cascade);
     if stages.is_empty() {
         return Err(refusal::Reason::NotAllowed);
@@ -292,10 +344,19 @@
     target: &str,
     call: &str,
 ) -> Result<request::Work, refusal::Reason> {
-    let name = organisation.services.get(target).ok_or(refusal::Reason::NotAllowed)?;
-    let service = document.services.get(name).ok_or(refusal::Reason::NotAllowed)?;
+    let name = organisation
+        .services
+        .get(target)
+        .ok_or(refusal::Reason::NotAllowed)?;
+    let service = document
+        .services
+        .get(name)
+        .ok_or(refusal::Reason::NotAllowed)?;
     let is_idempotent = !service.is_non_idempotent(call);
-    Ok(request::Work::Service { name: name.clone(), is_idempotent })
+    Ok(request::Work::Service {
+        name: name.clone(),
+        is_idempotent,
+    })
 }
 
 fn named_session_hash(organisation: &name::Name, session: &str) -> u64 {
--- a/crates/core/src/host/traffic.rs
+++ b/crates/core/src/host/traffic.rs
@@ -29,7 +29,9 @@
         self.counters.add(counter::Counter::Received);
         let request = request::Request::receive(head);
         let reason = self.unready_reason().or_else(|| {
-            self.journal.is_full().then_some(refusal::Reason::BacklogFull)
+            self.journal
+                .is_full()
+                .then_some(refusal::Reason::BacklogFull)
         });
         if let Some(reason) = reason {
             self.refuse(request, reason);
@@ -48,13 +50,23 @@
         attempt: event::Attempt,
         end: event::AttemptEnd,
     ) {
-        let Some(request) = self.take_running(ticket, attempt) else { return };
-        self.balancer.end(request.state.server, is_servers_fault(&end), self.now.mono_ms);
+        let Some(request) = self.take_running(ticket, attempt) else {
+            return;
+        };
+        self.balancer.end(
+            request.state.server,
+            is_servers_fault(&end),
+            self.now.mono_ms,
+        );
         match end {
             event::AttemptEnd::Answered { tokens, answer } => {
                 self.on_answered(request, tokens, answer);
             }
-            event::AttemptEnd::Failed { fault, delivered_events, is_resumable } => {
+            event::AttemptEnd::Failed {
+                fault,
+                delivered_events,
+                is_resumable,
+            } => {
                 self.on_failed(request, fault, delivered_events, is_resumable);
             }
         }
@@ -66,9 +78,15 @@
         attempt: event::Attempt,
         score_percent: Option<u64>,
     ) {
-        let Some(request) = self.take_running(ticket, attempt) else { return };
-        let request::Work::Model { stage, quality_target_percent, kind, .. } =
-            &request.state.plan.work
+        let Some(request) = self.take_running(ticket, attempt) else {
+            return;
+        };
+        let request::Work::Model {
+            stage,
+            quality_target_percent,
+            kind,
+            ..
+        } = &request.state.plan.work
         else {
             return;
         };
@@ -104,8 +122,7 @@
             .iter()
             .filter_map(|(ticket, live)| match live {
                 Live::Running(request)
-                    if now_ms >= request.state.plan.deadline_ms
-                        && !request.state.is_abandoned =>
+                    if now_ms >= request.state.plan.deadline_ms && !request.state.is_abandoned =>
                 {
                     Some(*ticket)
                 }
@@ -125,7 +142,9 @@
         let now_ms = self.now.mono_ms;
         let mut done = Vec::new();
         for (ticket, live) in &self.requests {
-            let Live::Finishing(request) = live else { continue };
+            let Live::Finishing(request) = live else {
+                continue;
+            };
             let is_kept = self.notes.is_kept(request.state.number);
             if is_kept || now_ms >= request.state.give_up_ms {
                 done.push((*ticket, request.state.attempt, is_kept));
@@ -169,8 +188,9 @@
         if let Some(retry_after_ms) = self.over_limit(&plan) {
             let ticket = request.head.ticket;
             self.counters.refuse(refusal::Reason::OverLimit.code());
-            let refusal =
-                request.refuse(refusal::Reason::OverLimit).coming_back_after(retry_after_ms);
+            let refusal = request
+                .refuse(refusal::Reason::OverLimit)
+                .coming_back_after(retry_after_ms);
             self.act(action::Action::Refuse { ticket, refusal });
             return;
         }
@@ -192,10 +212,16 @@
 
     fn over_limit(&mut self, plan: &request::Plan) -> Option<u64> {
         let document = self.catalogue.document();
-        let requests_per_s = document.organisations.get(&plan.organisation)?.requests_per_s;
+        let requests_per_s = document
+            .organisations
+            .get(&plan.organisation)?
+            .requests_per_s;
         let hosts = u64::try_from(self.membership.eligible().count()).unwrap_or(1);
         let now_ms = self.now.mono_ms;
-        match self.limits.take(&plan.organisation, requests_per_s, hosts, now_ms) {
+        match self
+            .limits
+            .take(&plan.organisation, requests_per_s, hosts, now_ms)
+        {
             limit::Verdict::Admit => None,
             limit::Verdict::Refuse { retry_after_ms } => Some(retry_after_ms),
         }
@@ -253,14 +279,19 @@
             self.notes.open(state.number, Arc::clone(&organisation));
         }
         let mode = if state.is_held {
-            action::Mode::Hold { max_bytes: HELD_MAX_BYTES }
+            action::Mode::Hold {
+                max_bytes: HELD_MAX_BYTES,
+            }
         } else {
             action::Mode::Stream
         };
         let dispatch = action::Dispatch {
             ticket: request.head.ticket,
             attempt: state.attempt,
-            bill: entry::BillId { host: self.id(), number: state.number },
+            bill: entry::BillId {
+                host: self.id(),
+                number: state.number,
+            },
             server: state.server,
             item: route.item,
             organisation,
@@ -271,7 +302,8 @@
             revision: self.catalogue_revision,
         };
         self.act(action::Action::Dispatch(dispatch));
-        self.requests.insert(request.head.ticket, Live::Running(request));
+        self.requests
+            .insert(request.head.ticket, Live::Running(request));
     }
 
     fn take_running(
@@ -331,7 +363,8 @@
     fn escalate(&mut self, mut request: request::Request<request::Dispatched>) {
         self.counters.add(counter::Counter::Escalated);
         let cost = self.cost_microcents(&request, request.state.held_tokens);
-        self.counters.add_many(counter::Counter::EscalatedMicrocents, cost);
+        self.counters
+            .add_many(counter::Counter::EscalatedMicrocents, cost);
         if let request::Work::Model { stage, .. } = &mut request.state.plan.work {
             *stage += 1;
         }
@@ -407,7 +440,10 @@
         let route = match self.route(&head, &mut request.state.plan) {
             Ok(route) => route,
             Err(reason) => {
-                self.log(action::Level::Info, format!("no further attempt: {}", reason.code()));
+                self.log(
+                    action::Level::Info,
+                    format!("no further attempt: {}", reason.code()),
+                );
                 self.give_up(request);
                 return;
             }
@@ -436,20 +472,25 @@
             refusal::Failure::OutcomeUnknown => counter::Counter::OutcomeUnknown,
             _ => counter::Counter::Failed,
         });
-        self.act(action::Action::Fail { ticket: request.head.ticket, failure });
+        self.act(action::Action::Fail {
+            ticket: request.head.ticket,
+            failure,
+        });
     }
 
     /// Ends a request that nobody waits for; one that may not be repeated runs to its end.
     fn abandon(&mut self, mut request: request::Request<request::Dispatched>) {
         if request.state.claim.is_some() {
             request.state.is_abandoned = true;
-            self.requests.insert(request.head.ticket, Live::Running(request));
+            self.requests
+                .insert(request.head.ticket, Live::Running(request));
             return;
         }
         if !request.state.is_attempt_over {
             let (ticket, attempt) = (request.head.ticket, request.state.attempt);
             self.act(action::Action::Cancel { ticket, attempt });
-            self.balancer.end(request.state.server, false, self.now.mono_ms);
+            self.balancer
+                .end(request.state.server, false, self.now.mono_ms);
         }
         self.poison.end(request.head.content);
         self.bill(&request, 0, entry::Ending::Failed);
@@ -462,7 +503,10 @@
         ending: entry::Ending,
     ) {
         let bill = entry::Bill {
-            id: entry::BillId { host: self.id(), number: request.state.number },
+            id: entry::BillId {
+                host: self.id(),
+                number: request.state.number,
+            },
             organisation: Arc::from(request.state.plan.organisation.as_str()),
             item: Arc::clone(&request.state.item),
             tokens,
@@ -476,11 +520,7 @@
         self.submit_bill(bill);
     }
 
-    fn cost_microcents(
-        &self,
-        request: &request::Request<request::Dispatched>,
-        tokens: u64,
-    ) -> u64 {
+    fn cost_microcents(&self, request: &request::Request<request::Dispatched>, tokens: u64) -> u64 {
         let document = self.catalogue.document();
         match &request.state.plan.work {
             request::Work::Model { stages, stage, .. } => stages
@@ -508,10 +548,7 @@
 }
 
 /// The digest of an organisation, a service and an idempotency key.
-fn claim_key(
-    request: &request::Request<request::Admitted>,
-    key: &str,
-) -> entry::ClaimKey {
+fn claim_key(request: &request::Request<request::Admitted>, key: &str) -> entry::ClaimKey {
     use sha2::Digest as _;
     let service = match &request.state.plan.work {
         request::Work::Service { name, .. } => name.as_str(),
--- a/crates/core/tests/world/callers.rs
+++ b/crates/core/tests/world/callers.rs
@@ -123,7 +123,10 @@
         if refusal.reason() == refusal::Reason::SessionWithdrawn
             && let Some(session) = self.callers.session_of(ticket)
         {
-            *session = Session { token: None, item: None };
+            *session = Session {
+                token: None,
+                item: None,
+            };
         }
         self.resend_later(ticket);
     }
@@ -158,12 +161,21 @@
     }
 
     /// A session runs on one version from the answer that started it on.
-    pub(super) fn note_session(&mut self, ticket: event::Ticket, item: &Arc<str>, token: &Arc<str>) {
-        let Some(send) = self.callers.sends.get_mut(&ticket) else { return };
+    pub(super) fn note_session(
+        &mut self,
+        ticket: event::Ticket,
+        item: &Arc<str>,
+        token: &Arc<str>,
+    ) {
+        let Some(send) = self.callers.sends.get_mut(&ticket) else {
+            return;
+        };
         let request = send.request;
         let expected = send.expected.get_or_insert_with(|| Arc::clone(item));
         let has_changed = expected != item;
-        let Some(index) = self.callers.wishes[request].session else { return };
+        let Some(index) = self.callers.wishes[request].session else {
+            return;
+        };
         if has_changed {
             self.violate(Violation::SessionChangedVersion);
             return;
@@ -175,14 +187,21 @@
 
     fn draw_session(&mut self) -> usize {
         if self.callers.sessions.len() < 8 {
-            self.callers.sessions.push(Session { token: None, item: None });
+            self.callers.sessions.push(Session {
+                token: None,
+                item: None,
+            });
         }
         self.rng.random_range(0..self.callers.sessions.len())
     }
 
     fn send(&mut self, request: usize) {
-        let alive: Vec<usize> = (0..SLOTS).filter(|s| self.slots[*s].host.is_some()).collect();
-        let Some(slot) = alive.choose(&mut self.rng).copied() else { return };
+        let alive: Vec<usize> = (0..SLOTS)
+            .filter(|s| self.slots[*s].host.is_some())
+            .collect();
+        let Some(slot) = alive.choose(&mut self.rng).copied() else {
+            return;
+        };
         let ticket = event::Ticket(self.rng.random());
         let run = self.slots[slot].run;
         let wish = &mut self.callers.wishes[request];
@@ -213,18 +232,37 @@
             resume_from: 0,
         };
         let got = Got::Nothing;
-        let send =
-            Send { slot, run, request, got, is_delivered: false, bill: None, expected };
+        let send = Send {
+            slot,
+            run,
+            request,
+            got,
+            is_delivered: false,
+            bill: None,
+            expected,
+        };
         self.callers.sends.insert(ticket, send);
         let event = event::Event::Request(Arc::new(head));
         let at_ms = self.now_ms + self.rng.random_range(0..5);
-        self.push(at_ms, Happening::Deliver { slot, run: Some(run), event });
+        self.push(
+            at_ms,
+            Happening::Deliver {
+                slot,
+                run: Some(run),
+                event,
+            },
+        );
     }
 
     fn end_send(&mut self, ticket: event::Ticket, got: Got) {
-        let Some(send) = self.callers.sends.get_mut(&ticket) else { return };
+        let Some(send) = self.callers.sends.get_mut(&ticket) else {
+            return;
+        };
         if send.got != Got::Nothing {
-            let violation = Violation::TwoFinalAnswers { first: send.got, second: got };
+            let violation = Violation::TwoFinalAnswers {
+                first: send.got,
+                second: got,
+            };
             self.violate(violation);
             return;
         }
@@ -232,7 +270,9 @@
     }
 
     fn resend_later(&mut self, ticket: event::Ticket) {
-        let Some(send) = self.callers.sends.get(&ticket) else { return };
+        let Some(send) = self.callers.sends.get(&ticket) else {
+            return;
+        };
         let request = send.request;
         let at_ms = self.now_ms + self.rng.random_range(50..3_000);
         self.push(at_ms, Happening::CallerResends { request });
--- a/crates/core/tests/world/document.rs
+++ b/crates/core/tests/world/document.rs
@@ -22,14 +22,21 @@
 /// The digest under which the document knows the key.
 pub fn key_sha256() -> Arc<str> {
     let digest = sha2::Sha256::digest(KEY.as_bytes());
-    digest.iter().map(|byte| format!("{byte:02x}")).collect::<String>().into()
+    digest
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect::<String>()
+        .into()
 }
 
 /// Puts the first revision in force.
 pub fn store_first(fake: &mut FakePlatform) {
     let next = parts_with([34, 33, 33], [false; 3]);
     let change = change_from(&replica::Snapshot::default(), &next, 0, 0);
-    fake.put(&replica::log_key(1), serde_json::to_vec(&change).expect("JSON").into());
+    fake.put(
+        &replica::log_key(1),
+        serde_json::to_vec(&change).expect("JSON").into(),
+    );
 }
 
 impl World {
@@ -56,7 +63,9 @@
         }
         let key = replica::log_key(change.revision);
         let value = serde_json::to_vec(change).expect("JSON").into();
-        let reply = self.platform.execute(&platform::Call::Create { key, value });
+        let reply = self
+            .platform
+            .execute(&platform::Call::Create { key, value });
         if !matches!(reply, platform::Reply::Written { .. }) {
             return;
         }
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -83,16 +83,39 @@
 /// Something that will happen.
 #[derive(Debug)]
 enum Happening {
-    Tick { slot: usize, run: u64 },
-    Deliver { slot: usize, run: Option<u64>, event: event::Event },
-    PlatformExecutes { slot: usize, run: u64, id: action::CallId, call: object_store::Call, until_ms: u64 },
-    PlatformAppliesLate { call: object_store::Call },
-    BackendEnds { slot: usize, run: u64, dispatch: action::Dispatch },
+    Tick {
+        slot: usize,
+        run: u64,
+    },
+    Deliver {
+        slot: usize,
+        run: Option<u64>,
+        event: event::Event,
+    },
+    PlatformExecutes {
+        slot: usize,
+        run: u64,
+        id: action::CallId,
+        call: object_store::Call,
+        until_ms: u64,
+    },
+    PlatformAppliesLate {
+        call: object_store::Call,
+    },
+    BackendEnds {
+        slot: usize,
+        run: u64,
+        dispatch: action::Dispatch,
+    },
     CallerSends,
-    CallerResends { request: usize },
+    CallerResends {
+        request: usize,
+    },
     OperatorChanges,
     Fault,
-    Restart { slot: usize },
+    Restart {
+        slot: usize,
+    },
 }
 
 /// One place where a host runs.
@@ -209,11 +232,21 @@
         match happening {
             Happening::Tick { slot, run } => self.tick(slot, run),
             Happening::Deliver { slot, run, event } => self.deliver(slot, run, event),
-            Happening::PlatformExecutes { slot, run, id, call, until_ms } => {
+            Happening::PlatformExecutes {
+                slot,
+                run,
+                id,
+                call,
+                until_ms,
+            } => {
                 self.platform_executes(slot, run, id, call, until_ms);
             }
             Happening::PlatformAppliesLate { call } => drop(self.platform.execute(&call)),
-            Happening::BackendEnds { slot, run, dispatch } => self.backend_ends(slot, run, &dispatch),
+            Happening::BackendEnds {
+                slot,
+                run,
+                dispatch,
+            } => self.backend_ends(slot, run, &dispatch),
             Happening::CallerSends => self.caller_sends(),
             Happening::CallerResends { request } => self.caller_resends(request),
             Happening::OperatorChanges => self.operator_changes(),
@@ -277,7 +310,10 @@
     }
 
     fn host_now(&self) -> host::Now {
-        host::Now { mono_ms: self.now_ms, wall_s: WALL_START_S + self.now_ms / 1_000 }
+        host::Now {
+            mono_ms: self.now_ms,
+            wall_s: WALL_START_S + self.now_ms / 1_000,
+        }
     }
 
     fn tick(&mut self, slot: usize, run: u64) {
@@ -310,7 +346,9 @@
         self.report.steps += 1;
         self.note_delivery(&event);
         let now = self.host_now();
-        let Some(host) = self.slots[slot].host.as_mut() else { return };
+        let Some(host) = self.slots[slot].host.as_mut() else {
+            return;
+        };
         let actions = host.handle(event, now);
         self.check_host(slot);
         for action in actions {
@@ -326,9 +364,20 @@
             action::Action::Dispatch(dispatch) => self.dispatch(slot, run, dispatch),
             action::Action::Rate { ticket, attempt } => {
                 let score_percent = Some(if self.chance(70) { 90 } else { 10 });
-                let event = event::Event::Rated { ticket, attempt, score_percent };
+                let event = event::Event::Rated {
+                    ticket,
+                    attempt,
+                    score_percent,
+                };
                 let at_ms = self.now_ms + 20;
-                self.push(at_ms, Happening::Deliver { slot, run: Some(run), event });
+                self.push(
+                    at_ms,
+                    Happening::Deliver {
+                        slot,
+                        run: Some(run),
+                        event,
+                    },
+                );
             }
             action::Action::Finish { ticket, .. } => self.caller_answered(ticket),
             action::Action::Replay { ticket, .. } => self.caller_replayed(ticket),
@@ -349,20 +398,39 @@
     }
 
     fn send_peer(&mut self, from: usize, to: net::SocketAddr, message: message::Message) {
-        let Some(to) = (0..SLOTS).find(|slot| peer_address(*slot) == to) else { return };
-        let Some(host) = self.slots[from].host.as_ref() else { return };
-        let event = event::Event::Peer { from: peer_address(from), sender: host.id(), message };
+        let Some(to) = (0..SLOTS).find(|slot| peer_address(*slot) == to) else {
+            return;
+        };
+        let Some(host) = self.slots[from].host.as_ref() else {
+            return;
+        };
+        let event = event::Event::Peer {
+            from: peer_address(from),
+            sender: host.id(),
+            message,
+        };
         let is_cut = self.now_ms < self.cut_until_ms
             && self.cut_slots.contains(&from) != self.cut_slots.contains(&to);
         if is_cut || (!self.is_healing && self.chance(self.hardness.loss_percent)) {
             return;
         }
-        let copies = if !self.is_healing && self.chance(3) { 2 } else { 1 };
+        let copies = if !self.is_healing && self.chance(3) {
+            2
+        } else {
+            1
+        };
         for _ in 0..copies {
             let delay_ms = if self.chance(10) { 200 } else { 3 };
             let at_ms = self.now_ms + self.rng.random_range(0..=delay_ms);
             let event = event.clone();
-            self.push(at_ms, Happening::Deliver { slot: to, run: None, event });
+            self.push(
+                at_ms,
+                Happening::Deliver {
+                    slot: to,
+                    run: None,
+                    event,
+                },
+            );
         }
     }
 
@@ -395,7 +463,14 @@
             7 => {
                 self.slots[slot].is_stopping = true;
                 let run = Some(self.slots[slot].run);
-                self.push(now_ms, Happening::Deliver { slot, run, event: event::Event::Stop });
+                self.push(
+                    now_ms,
+                    Happening::Deliver {
+                        slot,
+                        run,
+                        event: event::Event::Stop,
+                    },
+                );
             }
             _ => self.toggle_leaving(),
         }
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -39,8 +39,10 @@
         platform: net::SocketAddr,
     },
     /// Put a document in force.
-    #[command(after_help = "Example:\n  toucanctl apply kite-clubs.yaml --platform 127.0.0.1:7000 \
-                            --author ama --reason 'Easter festival'")]
+    #[command(
+        after_help = "Example:\n  toucanctl apply kite-clubs.yaml --platform 127.0.0.1:7000 \
+                            --author ama --reason 'Easter festival'"
+    )]
     Apply(Apply),
     /// Print the document in force.
     Show {
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -120,24 +120,33 @@
     /// Says that there is no whole answer.
     pub async fn fail(&mut self, failure: refusal::Failure) {
         let (status, problem) = match failure {
-            refusal::Failure::Failed { retry_after_ms } => (502, Problem {
-                kind: "failed",
-                reason: "no_whole_answer",
-                hint: "the request may be sent again",
-                retry_after_ms: Some(retry_after_ms),
-            }),
-            refusal::Failure::OutcomeUnknown => (504, Problem {
-                kind: "outcome_unknown",
-                reason: "no_answer",
-                hint: "it may have run; ask again with the same Idempotency-Key",
-                retry_after_ms: Some(2_000),
-            }),
-            refusal::Failure::InProgress { retry_after_ms } => (409, Problem {
-                kind: "outcome_unknown",
-                reason: "in_progress",
-                hint: "an equal request is under way; ask again with the same Idempotency-Key",
-                retry_after_ms: Some(retry_after_ms),
-            }),
+            refusal::Failure::Failed { retry_after_ms } => (
+                502,
+                Problem {
+                    kind: "failed",
+                    reason: "no_whole_answer",
+                    hint: "the request may be sent again",
+                    retry_after_ms: Some(retry_after_ms),
+                },
+            ),
+            refusal::Failure::OutcomeUnknown => (
+                504,
+                Problem {
+                    kind: "outcome_unknown",
+                    reason: "no_answer",
+                    hint: "it may have run; ask again with the same Idempotency-Key",
+                    retry_after_ms: Some(2_000),
+                },
+            ),
+            refusal::Failure::InProgress { retry_after_ms } => (
+                409,
+                Problem {
+                    kind: "outcome_unknown",
+                    reason: "in_progress",
+                    hint: "an equal request is under way; ask again with the same Idempotency-Key",
+                    retry_after_ms: Some(retry_after_ms),
+                },
+            ),
         };
         if !self.has_head() {
             self.send_problem(status, &problem).await;
@@ -146,7 +155,11 @@
             self.send(event.into()).await;
         } else {
             // Breaking off is the one way left to say that the answer is not whole.
-            drop(self.body.send(Err(io::Error::from(io::ErrorKind::ConnectionAborted))).await);
+            drop(
+                self.body
+                    .send(Err(io::Error::from(io::ErrorKind::ConnectionAborted)))
+                    .await,
+            );
         }
     }
 
@@ -156,7 +169,11 @@
         if let Some(retry_after_ms) = problem.retry_after_ms {
             headers.push(("retry-after", retry_after_ms.div_ceil(1_000).to_string()));
         }
-        self.send_head(Head { status, content_type: Arc::from("application/json"), headers });
+        self.send_head(Head {
+            status,
+            content_type: Arc::from("application/json"),
+            headers,
+        });
         self.send(problem.to_json().into()).await;
     }
 }
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -97,7 +97,15 @@
             .map_err(|_| event::Fault::Silent)?
             .map_err(|_| event::Fault::Broken)?;
         let (parts, body) = answer.into_parts();
-        Ok((parts, Exchange { server, sender: Some(sender), body, progress }))
+        Ok((
+            parts,
+            Exchange {
+                server,
+                sender: Some(sender),
+                body,
+                progress,
+            },
+        ))
     }
 
     fn take_idle(&self, server: net::SocketAddr) -> Option<Sender> {
@@ -146,8 +154,9 @@
     let stream = tokio::time::timeout(limit, tokio::net::TcpStream::connect(server)).await??;
     stream.set_nodelay(true)?;
     let io = hyper_util::rt::TokioIo::new(stream);
-    let (sender, connection) =
-        hyper::client::conn::http1::handshake(io).await.map_err(std::io::Error::other)?;
+    let (sender, connection) = hyper::client::conn::http1::handshake(io)
+        .await
+        .map_err(std::io::Error::other)?;
     tokio::spawn(async move {
         // The exchange on this connection sees the same error.
         drop(connection.await);
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -7,7 +7,10 @@
 /// Entry host of toucanwall: routes requests to allowed versions, once, at the right cost.
 #[derive(Debug, Clone)]
 #[derive(Parser)]
-#[command(version, after_help = "Example:\n  toucanwall --settings host.yaml\n  toucanwall --settings host.yaml --check")]
+#[command(
+    version,
+    after_help = "Example:\n  toucanwall --settings host.yaml\n  toucanwall --settings host.yaml --check"
+)]
 pub struct Arguments {
     /// Settings file, in YAML.
     #[arg(long)]
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -146,12 +146,18 @@
     async fn rate(&mut self, attempt: event::Attempt) -> Next {
         let score_percent = match &self.rating {
             Some(rating) => {
-                rating.rate(&self.held.item, &self.outgoing.body, &self.held.bytes).await
+                rating
+                    .rate(&self.held.item, &self.outgoing.body, &self.held.bytes)
+                    .await
             }
             None => None,
         };
         let ticket = self.head.ticket;
-        self.inputs.event(event::Event::Rated { ticket, attempt, score_percent });
+        self.inputs.event(event::Event::Rated {
+            ticket,
+            attempt,
+            score_percent,
+        });
         Next::Command
     }
 
@@ -162,7 +168,11 @@
         let outcome = runner.run().await;
         let is_over = runner.is_over;
         if let Outcome::Ended(end) = outcome {
-            self.inputs.event(event::Event::AttemptEnded { ticket, attempt, end });
+            self.inputs.event(event::Event::AttemptEnded {
+                ticket,
+                attempt,
+                end,
+            });
         }
         if is_over { Next::End } else { Next::Command }
     }
@@ -262,7 +272,11 @@
 
     fn outgoing(&self) -> backend::Outgoing {
         let mut outgoing = self.task.outgoing.clone();
-        put_header(&mut outgoing.headers, "x-toucanwall-item", &self.dispatch.item);
+        put_header(
+            &mut outgoing.headers,
+            "x-toucanwall-item",
+            &self.dispatch.item,
+        );
         if self.dispatch.resume_from > 0 {
             let resume_from = self.dispatch.resume_from.to_string();
             put_header(&mut outgoing.headers, "x-resume-from", &resume_from);
@@ -303,10 +317,13 @@
         self.content_type = header(parts, "content-type").unwrap_or_default().into();
         if let Some(running) = header(parts, "x-load-running").and_then(|text| text.parse().ok()) {
             let server = self.dispatch.server;
-            self.task.inputs.event(event::Event::LoadReported { server, running });
+            self.task
+                .inputs
+                .event(event::Event::LoadReported { server, running });
         }
-        self.tokens =
-            header(parts, "x-usage-tokens").and_then(|text| text.parse().ok()).unwrap_or(0);
+        self.tokens = header(parts, "x-usage-tokens")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         if self.content_type.starts_with("text/event-stream") {
             self.events = Some(sse::Events::default());
         }
@@ -331,7 +348,11 @@
         if let Some(token) = &self.dispatch.session_token {
             headers.push(("x-toucanwall-session", token.to_string()));
         }
-        answer::Head { status: self.status, content_type: Arc::clone(&self.content_type), headers }
+        answer::Head {
+            status: self.status,
+            content_type: Arc::clone(&self.content_type),
+            headers,
+        }
     }
 
     /// Takes bytes; returns those that go to the caller now.
@@ -358,15 +379,24 @@
     fn ended(&mut self) -> Outcome {
         if let Some(events) = &self.events {
             // Without its last event a stream is not whole, however it ended.
-            let Some(done) = events.done() else { return self.failed(event::Fault::Broken) };
+            let Some(done) = events.done() else {
+                return self.failed(event::Fault::Broken);
+            };
             self.task.held.tail = Some(done);
             self.tokens = self.tokens.max(events.passed());
         }
         let body = (self.kept.len() <= entry::KEPT_ANSWER_MAX_BYTES)
             .then(|| Arc::from(std::mem::take(&mut self.kept)));
         let content_type = Arc::clone(&self.content_type);
-        let answer = entry::KeptAnswer { status: self.status, content_type, body };
-        Outcome::Ended(event::AttemptEnd::Answered { tokens: self.tokens, answer })
+        let answer = entry::KeptAnswer {
+            status: self.status,
+            content_type,
+            body,
+        };
+        Outcome::Ended(event::AttemptEnd::Answered {
+            tokens: self.tokens,
+            answer,
+        })
     }
 
     fn failed(&self, fault: event::Fault) -> Outcome {
@@ -386,11 +416,17 @@
     if header(parts, "x-not-run").is_some() {
         return Some(event::Fault::Declined);
     }
-    parts.status.is_server_error().then_some(event::Fault::ErrorStatus)
+    parts
+        .status
+        .is_server_error()
+        .then_some(event::Fault::ErrorStatus)
 }
 
 fn header<'a>(parts: &'a hyper::http::response::Parts, name: &str) -> Option<&'a str> {
-    parts.headers.get(name).and_then(|value| value.to_str().ok())
+    parts
+        .headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
 }
 
 fn put_header(headers: &mut hyper::HeaderMap, name: &'static str, value: &str) {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -89,7 +89,9 @@
 /// # Errors
 /// The address is in use or not one of this machine.
 pub async fn listen(front: Arc<Front>, address: net::SocketAddr) -> std::io::Result<()> {
-    let acceptor = poem::listener::TcpListener::bind(address).into_acceptor().await?;
+    let acceptor = poem::listener::TcpListener::bind(address)
+        .into_acceptor()
+        .await?;
     let routes = poem::Route::new()
         .at("/v1/addresses", poem::get(addresses))
         .at("/v1/revision", poem::get(revision))
@@ -98,7 +100,10 @@
         .data(front);
     let endpoint = routes.into_endpoint();
     tokio::spawn(async move {
-        if let Err(error) = poem::Server::new_with_acceptor(acceptor).run(endpoint).await {
+        if let Err(error) = poem::Server::new_with_acceptor(acceptor)
+            .run(endpoint)
+            .await
+        {
             log::error!(target: "toucanwall", "callers are no longer served: {error}");
         }
     });
@@ -142,7 +147,11 @@
         }
     };
     let Some(model) = json["model"].as_str() else {
-        return problem(400, "malformed_body", "body: `model` must name a model or cascade");
+        return problem(
+            400,
+            "malformed_body",
+            "body: `model` must name a model or cascade",
+        );
     };
     let incoming = Incoming {
         method: hyper::Method::POST,
@@ -164,7 +173,11 @@
         Ok(body) => body,
         Err(response) => return *response,
     };
-    let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
+    let query = request
+        .uri()
+        .query()
+        .map(|query| format!("?{query}"))
+        .unwrap_or_default();
     let incoming = Incoming {
         method: request.method().clone(),
         path: format!("/{path}{query}"),
@@ -184,7 +197,11 @@
             let hint = format!("the body may have {BODY_MAX_BYTES} bytes at most");
             Err(Box::new(problem(413, "body_too_large", &hint)))
         }
-        Err(_) => Err(Box::new(problem(400, "body_cut_off", "the body did not come whole"))),
+        Err(_) => Err(Box::new(problem(
+            400,
+            "body_cut_off",
+            "the body did not come whole",
+        ))),
     }
 }
 
@@ -205,8 +222,7 @@
         deadline_ms: number("x-deadline-ms")
             .unwrap_or(DEADLINE_DEFAULT_MS)
             .min(DEADLINE_MAX_MS),
-        class: header("x-request-class")
-            .map_or_else(|| size_class(incoming.body.len()), Arc::from),
+        class: header("x-request-class").map_or_else(|| size_class(incoming.body.len()), Arc::from),
         content: content_digest(incoming),
         prefix: (incoming.body.len() >= PREFIX_BYTES)
             .then(|| short_digest(&incoming.body[..PREFIX_BYTES])),
@@ -214,11 +230,7 @@
     }
 }
 
-fn outgoing(
-    request: &poem::Request,
-    incoming: Incoming,
-    head: &event::Head,
-) -> backend::Outgoing {
+fn outgoing(request: &poem::Request, incoming: Incoming, head: &event::Head) -> backend::Outgoing {
     let mut headers = hyper::HeaderMap::new();
     for name in ["content-type", "accept", "x-priority", "idempotency-key"] {
         if let Some(value) = request.headers().get(name) {
@@ -240,8 +252,9 @@
     };
     let status =
         poem::http::StatusCode::from_u16(head.status).unwrap_or(poem::http::StatusCode::OK);
-    let mut response =
-        poem::Response::builder().status(status).content_type(&*head.content_type);
+    let mut response = poem::Response::builder()
+        .status(status)
+        .content_type(&*head.content_type);
     for (name, value) in head.headers {
         response = response.header(name, value);
     }
@@ -264,7 +277,9 @@
 /// The digest of a bearer token.
 fn key_digest(authorization: &str) -> Arc<str> {
     use sha2::Digest as _;
-    let key = authorization.strip_prefix("Bearer ").unwrap_or(authorization);
+    let key = authorization
+        .strip_prefix("Bearer ")
+        .unwrap_or(authorization);
     hex(&sha2::Sha256::digest(key.trim().as_bytes())).into()
 }
 
@@ -300,4 +315,3 @@
         _ => "long",
     })
 }
-
--- a/crates/daemon/src/sse.rs
+++ b/crates/daemon/src/sse.rs
@@ -39,7 +39,11 @@
                 out.extend_from_slice(&event);
             }
         }
-        if self.partial.len() > EVENT_MAX_BYTES { Err(EventTooLong) } else { Ok(out.freeze()) }
+        if self.partial.len() > EVENT_MAX_BYTES {
+            Err(EventTooLong)
+        } else {
+            Ok(out.freeze())
+        }
     }
 
     /// Data events passed on so far.
@@ -56,7 +60,10 @@
 }
 
 fn event_length(bytes: &[u8]) -> Option<usize> {
-    bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2)
+    bytes
+        .windows(2)
+        .position(|pair| pair == b"\n\n")
+        .map(|at| at + 2)
 }
 
 fn is_data(event: &[u8]) -> bool {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -94,7 +94,11 @@
     /// Removes a server from the list.
     pub fn remove(&mut self, address: net::SocketAddr) {
         self.servers.remove(&address);
-        if self.health.get(&address).is_some_and(|health| health.in_flight == 0) {
+        if self
+            .health
+            .get(&address)
+            .is_some_and(|health| health.in_flight == 0)
+        {
             self.health.remove(&address);
         }
     }
@@ -107,7 +111,9 @@
     /// Whether a server may be given new work.
     #[must_use]
     pub fn takes_work(&self, address: net::SocketAddr) -> bool {
-        self.servers.get(&address).is_some_and(|server| !server.is_leaving)
+        self.servers
+            .get(&address)
+            .is_some_and(|server| !server.is_leaving)
     }
 
     /// Chooses a server: the warm one if it is not much busier, else the better of two.
@@ -128,7 +134,9 @@
             return Choice::Full;
         }
         let better = self.better_of_two(&open, now_ms, rng);
-        let chosen = self.warm(wanted.prefix, &open, better, now_ms).unwrap_or(better);
+        let chosen = self
+            .warm(wanted.prefix, &open, better, now_ms)
+            .unwrap_or(better);
         if let Some(prefix) = wanted.prefix {
             self.remember(prefix, chosen);
         }
@@ -169,8 +177,12 @@
     /// Requests that a server runs, by its last report and what was sent and ended since.
     #[must_use]
     pub fn load(&self, address: net::SocketAddr, now_ms: u64) -> u64 {
-        let Some(health) = self.health.get(&address) else { return 0 };
-        let is_recent = health.reported_ms.is_some_and(|at| now_ms < at + REPORT_MAX_AGE_MS);
+        let Some(health) = self.health.get(&address) else {
+            return 0;
+        };
+        let is_recent = health
+            .reported_ms
+            .is_some_and(|at| now_ms < at + REPORT_MAX_AGE_MS);
         if !is_recent {
             return health.in_flight;
         }
@@ -200,9 +212,15 @@
     /// Leaves out servers that were set aside, unless that would take too many.
     fn without_ejected(&self, able: &[net::SocketAddr], now_ms: u64) -> Vec<net::SocketAddr> {
         let is_ejected = |address: &net::SocketAddr| {
-            self.health.get(address).is_some_and(|health| now_ms < health.ejected_until_ms)
+            self.health
+                .get(address)
+                .is_some_and(|health| now_ms < health.ejected_until_ms)
         };
-        let kept: Vec<_> = able.iter().copied().filter(|address| !is_ejected(address)).collect();
+        let kept: Vec<_> = able
+            .iter()
+            .copied()
+            .filter(|address| !is_ejected(address))
+            .collect();
         if kept.len() * 100 < able.len() * (100 - EJECTED_MAX_PERCENT) {
             able.to_vec()
         } else {
@@ -221,7 +239,11 @@
     {
         let first = open[rng.random_range(0..open.len())];
         let second = open[rng.random_range(0..open.len())];
-        if self.load(second, now_ms) < self.load(first, now_ms) { second } else { first }
+        if self.load(second, now_ms) < self.load(first, now_ms) {
+            second
+        } else {
+            first
+        }
     }
 
     fn warm(
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -73,20 +73,17 @@
 
     /// Notes that a content ran to its end.
     pub fn clear(&mut self, content: u64) {
-        let is_convicted =
-            self.records.get(&content).is_some_and(|r| r.crashed.len() >= CRASHES_TO_CONVICT);
+        let is_convicted = self
+            .records
+            .get(&content)
+            .is_some_and(|r| r.crashed.len() >= CRASHES_TO_CONVICT);
         if !is_convicted {
             self.records.remove(&content);
         }
     }
 
     /// Notes that a server went down with a content in flight; returns what is known now.
-    pub fn implicate(
-        &mut self,
-        content: u64,
-        server: net::SocketAddr,
-        now_ms: u64,
-    ) -> Standing {
+    pub fn implicate(&mut self, content: u64, server: net::SocketAddr, now_ms: u64) -> Standing {
         self.make_room(content, now_ms);
         let record = self.records.entry(content).or_insert(Record {
             crashed: collections::BTreeSet::new(),
@@ -112,7 +109,8 @@
         if self.records.len() < CONTENTS_MAX || self.records.contains_key(&content) {
             return;
         }
-        self.records.retain(|_, record| now_ms < record.seen_ms + VERDICT_MS);
+        self.records
+            .retain(|_, record| now_ms < record.seen_ms + VERDICT_MS);
         if self.records.len() >= CONTENTS_MAX {
             self.records.pop_first();
         }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -42,13 +42,25 @@
     routes: poem::Route,
     is_down: Arc<atomic::AtomicBool>,
 ) -> std::io::Result<Running> {
-    let acceptor = poem::listener::TcpListener::bind(address).into_acceptor().await?;
-    let address = *acceptor.local_addr()[0].as_socket_addr().expect("a TCP listener has one");
+    let acceptor = poem::listener::TcpListener::bind(address)
+        .into_acceptor()
+        .await?;
+    let address = *acceptor.local_addr()[0]
+        .as_socket_addr()
+        .expect("a TCP listener has one");
     let flag = Arc::clone(&is_down);
     let endpoint = routes.into_endpoint().boxed();
     let task = tokio::spawn(async move {
         // A stand-in that cannot serve shows in the test that calls it.
-        drop(poem::Server::new_with_acceptor(acceptor).run(endpoint).await);
+        drop(
+            poem::Server::new_with_acceptor(acceptor)
+                .run(endpoint)
+                .await,
+        );
     });
-    Ok(Running { address, is_down: flag, task })
+    Ok(Running {
+        address,
+        is_down: flag,
+        task,
+    })
 }
