--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -173,20 +173,19 @@
     }
 
     fn forget_version(&mut self) {
-        match &mut self.seen {
-            Some(seen) => seen.version = 0,
-            None => {
-                let record = LeaseRecord {
-                    holder: identity::HostId(0),
-                    fencing: 0,
-                    renewals: 0,
-                };
-                self.seen = Some(Seen {
-                    record,
-                    version: 0,
-                    since_ms: 0,
-                });
-            }
+        if let Some(seen) = &mut self.seen {
+            seen.version = 0;
+        } else {
+            let record = LeaseRecord {
+                holder: identity::HostId(0),
+                fencing: 0,
+                renewals: 0,
+            };
+            self.seen = Some(Seen {
+                record,
+                version: 0,
+                since_ms: 0,
+            });
         }
     }
 }
--- a/crates/coordination/src/ledger/owner.rs
+++ b/crates/coordination/src/ledger/owner.rs
@@ -186,7 +186,7 @@
     }
 
     /// Takes the platform's reply to the call in flight.
-    pub fn reply(&mut self, reply: platform::Reply, now_ms: u64) -> Vec<Effect> {
+    pub fn reply(&mut self, reply: &platform::Reply, now_ms: u64) -> Vec<Effect> {
         self.is_asked = false;
         if matches!(reply, platform::Reply::Unknown) {
             self.next_call_ms = now_ms + self.retry_ms;
@@ -200,12 +200,12 @@
         self.retry_ms = RETRY_MIN_MS;
         match mem::replace(&mut self.phase, Phase::Idle) {
             Phase::Idle => Vec::new(),
-            Phase::ReadCheckpoint => self.take_checkpoint(&reply),
-            Phase::ReadLog => self.take_log(&reply),
+            Phase::ReadCheckpoint => self.take_checkpoint(reply),
+            Phase::ReadLog => self.take_log(reply),
             Phase::Ready => self.stay(Phase::Ready),
-            Phase::Writing(write) => self.take_written(write, &reply, now_ms),
-            Phase::ReadingBack(write) => self.take_read_back(write, &reply, now_ms),
-            Phase::Checkpointing => self.take_checkpointed(&reply),
+            Phase::Writing(write) => self.take_written(write, reply, now_ms),
+            Phase::ReadingBack(write) => self.take_read_back(write, reply, now_ms),
+            Phase::Checkpointing => self.take_checkpointed(reply),
         }
     }
 
--- a/crates/core/src/envelope.rs
+++ b/crates/core/src/envelope.rs
@@ -74,7 +74,7 @@
             }
             let error = KeysError { line: index + 1 };
             let (id, secret) = line.split_once(':').ok_or_else(|| error.clone())?;
-            let id = id.parse().map_err(|_| error.clone())?;
+            let id = id.parse().map_err(|_ignored| error.clone())?;
             if secret.len() < 16 {
                 return Err(error);
             }
@@ -127,7 +127,7 @@
             .ok_or(EnvelopeError::Unauthentic)?;
         mac(key, context, bytes)
             .verify_truncated_left(given)
-            .map_err(|_| EnvelopeError::Unauthentic)?;
+            .map_err(|_ignored| EnvelopeError::Unauthentic)?;
         Ok(bytes)
     }
 }
@@ -144,7 +144,7 @@
 /// [`EnvelopeError`] if it is cut off or no known key signed it.
 pub fn open(keys: &Keys, bytes: &[u8]) -> Result<Opened, EnvelopeError> {
     let bytes = keys.verify("peer", bytes)?;
-    postcard::from_bytes(bytes).map_err(|_| EnvelopeError::Malformed)
+    postcard::from_bytes(bytes).map_err(|_ignored| EnvelopeError::Malformed)
 }
 
 fn code(key: &Key, context: &str, bytes: &[u8]) -> [u8; CODE_BYTES] {
--- a/crates/core/src/host/addresses.rs
+++ b/crates/core/src/host/addresses.rs
@@ -1,6 +1,7 @@
 //! Which hosts callers are told to use, and the graceful shutdown.
 
 use std::net;
+use std::sync::Arc;
 
 use toucanwall_coordination::membership;
 
@@ -50,7 +51,7 @@
                 id: member.record.info.id.to_string(),
                 peer_address: member.record.info.peer_address,
                 caller_address: member.record.info.caller_address,
-                data_centre: member.record.info.data_centre.clone(),
+                data_centre: Arc::clone(&member.record.info.data_centre),
                 status: view::status_name(member.record.status),
             })
             .collect()
--- a/crates/core/src/host/coordination.rs
+++ b/crates/core/src/host/coordination.rs
@@ -112,7 +112,7 @@
                 let effects = self.registry.reply(reply, self.now.mono_ms);
                 self.apply_registry(effects);
             }
-            action::CallId::Shard(shard) => self.on_shard_reply(shard, reply),
+            action::CallId::Shard(shard) => self.on_shard_reply(shard, &reply),
         }
     }
 
--- a/crates/core/src/host/ledger.rs
+++ b/crates/core/src/host/ledger.rs
@@ -134,7 +134,7 @@
         }
     }
 
-    pub(super) fn on_shard_reply(&mut self, shard: u32, reply: platform::Reply) {
+    pub(super) fn on_shard_reply(&mut self, shard: u32, reply: &platform::Reply) {
         let now_ms = self.now.mono_ms;
         let Some(owner) = self.owners.get_mut(shard as usize) else {
             return;
--- a/crates/core/src/host/routing.rs
+++ b/crates/core/src/host/routing.rs
@@ -219,7 +219,7 @@
         let session_hash = match &head.session {
             event::Session::Token(text) => {
                 let token = session::Token::open(&self.config.keys, text)
-                    .map_err(|_| refusal::Reason::BadSession)?;
+                    .map_err(|_ignored| refusal::Reason::BadSession)?;
                 if token.organisation != *organisation {
                     return Err(refusal::Reason::BadSession);
                 }
--- a/crates/core/src/host/traffic.rs
+++ b/crates/core/src/host/traffic.rs
@@ -389,7 +389,7 @@
         match fault {
             event::Fault::NotSent => self.send_elsewhere(request),
             event::Fault::TooLong => self.escalate(request),
-            _ if request.state.claim.is_some() || !is_resumable => self.give_up(request),
+            _ if request.state.claim.is_some() || !is_resumable => self.give_up(&request),
             _ => self.retry(request),
         }
     }
@@ -398,7 +398,7 @@
     fn send_elsewhere(&mut self, request: request::Request<request::Dispatched>) {
         if let Some(claim) = request.state.claim.filter(|_| request.state.is_abandoned) {
             self.release(claim);
-            self.give_up(request);
+            self.give_up(&request);
             return;
         }
         let number = request.state.number;
@@ -418,7 +418,7 @@
         let has_attempts = request.state.plan.attempts < ATTEMPTS_MAX;
         let has_time = self.now.mono_ms < request.state.plan.deadline_ms;
         if request.state.is_abandoned || !has_attempts || !has_time || !self.retries.spend() {
-            self.give_up(request);
+            self.give_up(&request);
             return;
         }
         self.counters.add(counter::Counter::Retried);
@@ -444,7 +444,7 @@
                     action::Level::Info,
                     format!("no further attempt: {}", reason.code()),
                 );
-                self.give_up(request);
+                self.give_up(&request);
                 return;
             }
         };
@@ -454,16 +454,16 @@
             Ok(request) => self.start(request, route, false),
             Err(request) => {
                 self.breach("a claimed request would be dispatched twice");
-                self.give_up(request);
+                self.give_up(&request);
             }
         }
     }
 
-    fn give_up(&mut self, request: request::Request<request::Dispatched>) {
+    fn give_up(&mut self, request: &request::Request<request::Dispatched>) {
         if !request.state.is_abandoned {
-            self.tell_failure(&request);
+            self.tell_failure(request);
         }
-        self.bill(&request, 0, entry::Ending::Failed);
+        self.bill(request, 0, entry::Ending::Failed);
     }
 
     fn tell_failure(&mut self, request: &request::Request<request::Dispatched>) {
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -99,8 +99,9 @@
             Self::BacklogFull => "the platform has been away for long; come back later",
             Self::Unauthorised => "send the organisation's key as a bearer token",
             Self::NotAllowed => "ask your operator which models and services you may use",
-            Self::BadSession => "leave the session token out to start a new session",
-            Self::SessionWithdrawn => "leave the session token out to start a new session",
+            Self::BadSession | Self::SessionWithdrawn => {
+                "leave the session token out to start a new session"
+            }
             Self::KeyMissing => "send an Idempotency-Key with calls that may not be repeated",
             Self::KeyReused => "use a new Idempotency-Key for a new request",
             Self::OverLimit => "send fewer requests or ask your operator for a higher limit",
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -267,9 +267,9 @@
     ///
     /// # Errors
     /// The request itself, where a claim binds it to one dispatch.
-    pub fn dispatch_again(self, sent: Sent) -> Result<Self, Self> {
+    pub fn dispatch_again(self, sent: Sent) -> Result<Self, Box<Self>> {
         if self.state.claim.is_some() {
-            return Err(self);
+            return Err(Box::new(self));
         }
         let Dispatched {
             plan,
--- a/crates/core/src/session.rs
+++ b/crates/core/src/session.rs
@@ -44,8 +44,10 @@
     /// # Errors
     /// [`TokenError`] if it is not a token or no known key signed it.
     pub fn open(keys: &envelope::Keys, text: &str) -> Result<Self, TokenError> {
-        let signed = ENGINE.decode(text).map_err(|_| TokenError)?;
-        let bytes = keys.verify(CONTEXT, &signed).map_err(|_| TokenError)?;
-        postcard::from_bytes(bytes).map_err(|_| TokenError)
+        let signed = ENGINE.decode(text).map_err(|_ignored| TokenError)?;
+        let bytes = keys
+            .verify(CONTEXT, &signed)
+            .map_err(|_ignored| TokenError)?;
+        postcard::from_bytes(bytes).map_err(|_ignored| TokenError)
     }
 }
--- a/crates/core/tests/world/check.rs
+++ b/crates/core/tests/world/check.rs
@@ -213,12 +213,12 @@
             }
         }
         for (id, got) in unbilled {
-            if !self.lost_hosts.contains(&id.host) {
-                self.violate(Violation::Unbilled { got, id });
-            } else if got == callers::Got::Answer && self.lost_hosts.len() < 2 {
-                self.violate(Violation::Unbilled { got, id });
-            } else {
+            let is_lost = self.lost_hosts.contains(&id.host);
+            let may_be_unbilled = got != callers::Got::Answer || self.lost_hosts.len() >= 2;
+            if is_lost && may_be_unbilled {
                 self.report.bills_lost_with_host += 1;
+            } else {
+                self.violate(Violation::Unbilled { got, id });
             }
         }
     }
--- a/crates/core/tests/world/document.rs
+++ b/crates/core/tests/world/document.rs
@@ -22,11 +22,7 @@
 /// The digest under which the document knows the key.
 pub fn key_sha256() -> Arc<str> {
     let digest = sha2::Sha256::digest(KEY.as_bytes());
-    digest
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect::<String>()
-        .into()
+    hex::encode(digest).into()
 }
 
 /// Puts the first revision in force.
@@ -125,13 +121,14 @@
 }
 
 fn parts_with(shares: [u64; 3], withdrawn: [bool; 3]) -> parts::Parts {
-    let versions: String = VERSIONS
+    let versions: Vec<String> = VERSIONS
         .iter()
         .zip(shares.iter().zip(withdrawn))
         .map(|(version, (share, withdrawn))| {
             format!("      \"{version}\": {{ share_percent: {share}, withdrawn: {withdrawn} }}\n")
         })
         .collect();
+    let versions = versions.concat();
     let text = format!(
         "pools:\n  engines: {{ progress_ms: 5000 }}\n  desk: {{ progress_ms: 5000 }}\n\
          models:\n  model:\n    pool: engines\n    cost_microcents_per_kilotoken: 1000\n    versions:\n{versions}\
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -124,7 +124,6 @@
     host: Option<Host>,
     run: u64,
     paused_until_ms: u64,
-    started_ms: u64,
     revision: u64,
     is_stopping: bool,
 }
@@ -184,7 +183,6 @@
                 host: None,
                 run: 0,
                 paused_until_ms: 0,
-                started_ms: 0,
                 revision: 0,
                 is_stopping: false,
             });
@@ -302,7 +300,6 @@
             host: Some(host),
             run,
             paused_until_ms: 0,
-            started_ms: self.now_ms,
             revision: 0,
             is_stopping: false,
         };
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -44,6 +44,20 @@
                             --author ama --reason 'Easter festival'"
     )]
     Apply(Apply),
+    /// Serve the console of forms until it is ended.
+    #[command(after_help = "Example:\n  toucanctl console --listen 127.0.0.1:7900 \
+                            --platform 127.0.0.1:7000 --host 127.0.0.1:7300")]
+    Console {
+        /// Where browsers connect.
+        #[arg(long)]
+        listen: net::SocketAddr,
+        /// The platform's object API.
+        #[arg(long)]
+        platform: net::SocketAddr,
+        /// The admin address of any host, to show which hosts have a change in force.
+        #[arg(long)]
+        host: Option<net::SocketAddr>,
+    },
     /// Print the document in force.
     Show {
         /// The platform's object API.
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -15,6 +15,7 @@
 use toucanwall_platform::configuration;
 
 use crate::cli;
+use crate::console;
 use crate::error;
 use crate::fleet;
 use crate::render;
@@ -31,6 +32,11 @@
         cli::Command::Check { document } => check_document(&document),
         cli::Command::Diff { document, platform } => diff(&document, Client::new(platform)).await,
         cli::Command::Apply(apply) => apply_document(apply).await,
+        cli::Command::Console {
+            listen,
+            platform,
+            host,
+        } => console::serve(listen, Client::new(platform), host).await,
         cli::Command::Show { platform } => show(Client::new(platform)).await,
         cli::Command::Status { host } => status(host).await,
         cli::Command::Trail {
@@ -128,15 +134,12 @@
     let in_force = base.revision;
     let limit = time::Duration::from_secs(apply.timeout_s);
     let accepted = propose(&client, base, parts, &apply.author, &apply.reason, limit).await?;
-    let revision = match accepted {
-        Some(revision) => {
-            println!("revision {revision} is accepted");
-            revision
-        }
-        None => {
-            println!("nothing changes; revision {in_force} stays");
-            in_force
-        }
+    let revision = if let Some(revision) = accepted {
+        println!("revision {revision} is accepted");
+        revision
+    } else {
+        println!("nothing changes; revision {in_force} stays");
+        in_force
     };
     match apply.wait_host {
         Some(host) => fleet::wait_in_force(host, revision, limit).await,
@@ -182,7 +185,7 @@
 fn draw_key() {
     use sha2::Digest as _;
     let bytes: [u8; KEY_BYTES] = rand::rng().random();
-    let key = format!("tw-{}", render::hex(&bytes));
-    let digest = render::hex(&sha2::Sha256::digest(key.as_bytes()));
+    let key = format!("tw-{}", hex::encode(bytes));
+    let digest = hex::encode(sha2::Sha256::digest(key.as_bytes()));
     println!("key: {key}\nkey_sha256: {digest}");
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod commands;
+mod console;
 mod error;
 mod fleet;
 mod render;
--- a/crates/ctl/src/render.rs
+++ b/crates/ctl/src/render.rs
@@ -90,12 +90,6 @@
     out
 }
 
-/// Bytes as lower-case hexadecimal digits.
-#[must_use]
-pub fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 fn line(out: &mut String, text: std::fmt::Arguments<'_>) {
     // Writing to a string cannot fail.
     writeln!(out, "{text}").unwrap_or_default();
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -42,7 +42,7 @@
 }
 
 #[poem::handler]
-fn readiness(view: web::Data<&control::SharedView>) -> poem::Response {
+fn readiness(web::Data(view): web::Data<&control::SharedView>) -> poem::Response {
     let picture = view.get();
     let code = if picture.host.is_ready {
         poem::http::StatusCode::OK
@@ -55,7 +55,7 @@
 }
 
 #[poem::handler]
-fn status(view: web::Data<&control::SharedView>) -> web::Json<serde_json::Value> {
+fn status(web::Data(view): web::Data<&control::SharedView>) -> web::Json<serde_json::Value> {
     let picture = view.get();
     web::Json(serde_json::json!({
         "ready": picture.host.readiness,
@@ -67,7 +67,7 @@
 }
 
 #[poem::handler]
-fn metrics_text(view: web::Data<&control::SharedView>) -> poem::Response {
+fn metrics_text(web::Data(view): web::Data<&control::SharedView>) -> poem::Response {
     match metrics::encode(&view.get()) {
         Ok(text) => poem::Response::builder()
             .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -84,24 +84,21 @@
 
     /// Gives the kept answer of an earlier request.
     pub async fn replay(&mut self, answer: entry::KeptAnswer) {
-        match answer.body {
-            Some(body) => {
-                self.send_head(Head {
-                    status: answer.status,
-                    content_type: answer.content_type,
-                    headers: vec![("x-toucanwall-replayed", "true".to_owned())],
-                });
-                self.send(bytes::Bytes::copy_from_slice(&body)).await;
-            }
-            None => {
-                let problem = Problem {
-                    kind: "already_answered",
-                    reason: "answer_not_kept",
-                    hint: "the request was answered once; its answer was too long to keep",
-                    retry_after_ms: None,
-                };
-                self.send_problem(409, &problem).await;
-            }
+        if let Some(body) = answer.body {
+            self.send_head(Head {
+                status: answer.status,
+                content_type: answer.content_type,
+                headers: vec![("x-toucanwall-replayed", "true".to_owned())],
+            });
+            self.send(bytes::Bytes::copy_from_slice(&body)).await;
+        } else {
+            let problem = Problem {
+                kind: "already_answered",
+                reason: "answer_not_kept",
+                hint: "the request was answered once; its answer was too long to keep",
+                retry_after_ms: None,
+            };
+            self.send_problem(409, &problem).await;
         }
     }
 
@@ -194,7 +191,7 @@
 impl Problem {
     /// The body.
     #[must_use]
-    pub fn to_json(&self) -> String {
+    pub fn to_json(self) -> String {
         serde_json::json!({
             "error": {
                 "type": self.kind,
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -80,7 +80,9 @@
                 other => return other,
             }
         }
-        let sender = connect(server).await.map_err(|_| event::Fault::NotSent)?;
+        let sender = connect(server)
+            .await
+            .map_err(|_ignored| event::Fault::NotSent)?;
         self.send(server, sender, outgoing, progress).await
     }
 
@@ -94,8 +96,8 @@
         let request = build(server, outgoing).ok_or(event::Fault::NotSent)?;
         let answer = tokio::time::timeout(progress, sender.send_request(request))
             .await
-            .map_err(|_| event::Fault::Silent)?
-            .map_err(|_| event::Fault::Broken)?;
+            .map_err(|_ignored| event::Fault::Silent)?
+            .map_err(|_ignored| event::Fault::Broken)?;
         let (parts, body) = answer.into_parts();
         Ok((
             parts,
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -105,7 +105,7 @@
             }
         };
         match command {
-            None => Next::End,
+            None | Some(Command::Cancel { .. }) => Next::End,
             Some(Command::Dispatch(dispatch)) => self.attempt(dispatch).await,
             Some(Command::Rate { attempt }) => self.rate(attempt).await,
             Some(Command::Finish) => self.finish().await,
@@ -122,7 +122,6 @@
                 self.sink.fail(failure).await;
                 Next::End
             }
-            Some(Command::Cancel { .. }) => Next::End,
         }
     }
 
@@ -358,7 +357,9 @@
     /// Takes bytes; returns those that go to the caller now.
     fn take_data(&mut self, data: &bytes::Bytes) -> Result<bytes::Bytes, event::Fault> {
         let piece = match &mut self.events {
-            Some(events) => events.take(data).map_err(|_| event::Fault::TooLong)?,
+            Some(events) => events
+                .take(data)
+                .map_err(|_ignored| event::Fault::TooLong)?,
             None => data.clone(),
         };
         if !self.task.outgoing.is_idempotent && self.kept.len() <= entry::KEPT_ANSWER_MAX_BYTES {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -111,7 +111,7 @@
 }
 
 #[poem::handler]
-fn addresses(front: web::Data<&Arc<Front>>) -> web::Json<serde_json::Value> {
+fn addresses(web::Data(front): web::Data<&Arc<Front>>) -> web::Json<serde_json::Value> {
     let picture = front.view.get();
     web::Json(serde_json::json!({
         "addresses": picture.host.addresses,
@@ -120,7 +120,7 @@
 }
 
 #[poem::handler]
-fn revision(front: web::Data<&Arc<Front>>) -> web::Json<serde_json::Value> {
+fn revision(web::Data(front): web::Data<&Arc<Front>>) -> web::Json<serde_json::Value> {
     let picture = front.view.get();
     web::Json(serde_json::json!({
         "revision": picture.host.revision,
@@ -133,7 +133,7 @@
 async fn complete(
     request: &poem::Request,
     body: poem::Body,
-    front: web::Data<&Arc<Front>>,
+    web::Data(front): web::Data<&Arc<Front>>,
 ) -> poem::Response {
     let body = match read_body(body).await {
         Ok(body) => body,
@@ -167,7 +167,7 @@
     request: &poem::Request,
     web::Path((name, path)): web::Path<(String, String)>,
     body: poem::Body,
-    front: web::Data<&Arc<Front>>,
+    web::Data(front): web::Data<&Arc<Front>>,
 ) -> poem::Response {
     let body = match read_body(body).await {
         Ok(body) => body,
@@ -280,11 +280,7 @@
     let key = authorization
         .strip_prefix("Bearer ")
         .unwrap_or(authorization);
-    hex(&sha2::Sha256::digest(key.trim().as_bytes())).into()
-}
-
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+    hex::encode(sha2::Sha256::digest(key.trim().as_bytes())).into()
 }
 
 /// The digest that recognises a request when it is sent again.
--- a/crates/document/src/node.rs
+++ b/crates/document/src/node.rs
@@ -127,8 +127,8 @@
 impl<'de> de::Visitor<'de> for ValueVisitor {
     type Value = Value;
 
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a value")
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a value")
     }
 
     fn visit_unit<E>(self) -> Result<Value, E> {
@@ -203,8 +203,8 @@
 
 fn place_of(location: &serde_saphyr::Location) -> finding::Place {
     finding::Place {
-        line: u64::from(location.line()),
-        column: u64::from(location.column()),
+        line: location.line(),
+        column: location.column(),
     }
 }
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -189,5 +189,5 @@
         .collect()
         .await
         .map(http_body_util::Collected::to_bytes)
-        .map_err(|_| CallError::Body)
+        .map_err(|_ignored| CallError::Body)
 }
--- a/crates/platform/src/configuration.rs
+++ b/crates/platform/src/configuration.rs
@@ -69,7 +69,7 @@
     let key = replica::SNAPSHOT_KEY.to_owned();
     let mut snapshot = match client.call(platform::Call::Read { key }).await {
         platform::Reply::Found(object) => serde_json::from_slice(&object.value)
-            .map_err(|_| LoadError::Malformed { revision: 0 })?,
+            .map_err(|_ignored| LoadError::Malformed { revision: 0 })?,
         platform::Reply::Absent => replica::Snapshot::default(),
         _ => return Err(LoadError::Unavailable),
     };
@@ -110,7 +110,7 @@
     objects
         .iter()
         .map(|object| {
-            serde_json::from_slice(&object.value).map_err(|_| LoadError::Malformed {
+            serde_json::from_slice(&object.value).map_err(|_ignored| LoadError::Malformed {
                 revision: revision + 1,
             })
         })
@@ -138,7 +138,9 @@
     };
     let create = tokio::time::timeout(limit, create_until_definite(client, &change));
     let outcome = create.await.unwrap_or(Outcome::Unknown);
-    if outcome == Outcome::Accepted(change.revision) && change.revision % SNAPSHOT_EVERY == 0 {
+    if outcome == Outcome::Accepted(change.revision)
+        && change.revision.is_multiple_of(SNAPSHOT_EVERY)
+    {
         write_snapshot(client, change.revision, &proposal.parts).await;
     }
     outcome
--- a/crates/policy/src/cascade.rs
+++ b/crates/policy/src/cascade.rs
@@ -74,7 +74,7 @@
         let last = stages.len().saturating_sub(1);
         let count = self.started.entry(kind.clone()).or_default();
         *count += 1;
-        let explores = *count % EXPLORE_EVERY == 0;
+        let explores = (*count).is_multiple_of(EXPLORE_EVERY);
         if self.started.len() > KINDS_MAX {
             self.started.pop_first();
         }
--- a/crates/standin/examples/standins.rs
+++ b/crates/standin/examples/standins.rs
@@ -51,7 +51,7 @@
         let address = fields.next().unwrap_or_default();
         let address = address
             .parse()
-            .map_err(|_| format!("`{address}` is not an address"))?;
+            .map_err(|_ignored| format!("`{address}` is not an address"))?;
         let pool = fields.next().ok_or("the pool is missing")?.to_owned();
         let loaded = fields.next().unwrap_or_default();
         let loaded = loaded
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -123,9 +123,9 @@
 async fn complete(
     request: &poem::Request,
     body: Vec<u8>,
-    engine: web::Data<&Engine>,
+    web::Data(engine): web::Data<&Engine>,
 ) -> poem::Response {
-    let engine = Engine::clone(&engine);
+    let engine = engine.clone();
     let item = request
         .header("x-toucanwall-item")
         .unwrap_or_default()
@@ -164,7 +164,7 @@
 }
 
 #[poem::handler]
-fn load(engine: web::Data<&Engine>) -> String {
+fn load(web::Data(engine): web::Data<&Engine>) -> String {
     engine.running.load(atomic::Ordering::SeqCst).to_string()
 }
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -202,7 +202,10 @@
 }
 
 #[poem::handler]
-async fn read(web::Path(key): web::Path<String>, platform: web::Data<&Platform>) -> poem::Response {
+async fn read(
+    web::Path(key): web::Path<String>,
+    web::Data(platform): web::Data<&Platform>,
+) -> poem::Response {
     if let Some(answer) = platform.enter().await {
         return answer;
     }
@@ -220,7 +223,7 @@
     request: &poem::Request,
     web::Path(key): web::Path<String>,
     body: Vec<u8>,
-    platform: web::Data<&Platform>,
+    web::Data(platform): web::Data<&Platform>,
 ) -> poem::Response {
     if let Some(answer) = platform.enter().await {
         return answer;
@@ -244,7 +247,7 @@
 #[poem::handler]
 async fn delete(
     web::Path(key): web::Path<String>,
-    platform: web::Data<&Platform>,
+    web::Data(platform): web::Data<&Platform>,
 ) -> poem::Response {
     if let Some(answer) = platform.enter().await {
         return answer;
@@ -260,7 +263,7 @@
 #[poem::handler]
 async fn list(
     web::Query(query): web::Query<ListQuery>,
-    platform: web::Data<&Platform>,
+    web::Data(platform): web::Data<&Platform>,
 ) -> poem::Response {
     if let Some(answer) = platform.enter().await {
         return answer;
@@ -273,7 +276,7 @@
 #[poem::handler]
 async fn watch(
     web::Query(query): web::Query<WatchQuery>,
-    platform: web::Data<&Platform>,
+    web::Data(platform): web::Data<&Platform>,
 ) -> poem::Response {
     if let Some(answer) = platform.enter().await {
         return answer;
@@ -286,20 +289,25 @@
         let has_change = listing["objects"]
             .as_array()
             .is_some_and(|found| !found.is_empty());
-        let waited = tokio::time::timeout_at(end, changed.changed()).await;
-        if has_change || waited.is_err() {
+        if has_change {
+            return platform.enter().await.unwrap_or_else(|| json(&listing));
+        }
+        if tokio::time::timeout_at(end, changed.changed())
+            .await
+            .is_err()
+        {
             return platform.enter().await.unwrap_or_else(|| json(&listing));
         }
     }
 }
 
 #[poem::handler]
-fn switch(web::Json(faults): web::Json<Faults>, platform: web::Data<&Platform>) {
+fn switch(web::Json(faults): web::Json<Faults>, web::Data(platform): web::Data<&Platform>) {
     platform.set_faults(faults);
 }
 
 #[poem::handler]
-fn calls(platform: web::Data<&Platform>) -> poem::Response {
+fn calls(web::Data(platform): web::Data<&Platform>) -> poem::Response {
     let calls = platform.calls();
     let (writes, reads, watches) = (calls.writes, calls.reads, calls.watches);
     json(&serde_json::json!({ "writes": writes, "reads": reads, "watches": watches }))
--- a/crates/standin/src/rating.rs
+++ b/crates/standin/src/rating.rs
@@ -9,8 +9,10 @@
 
 use crate::server;
 
-/// A prompt with this word is too hard for a model whose name has `small` in it.
+/// A prompt with this word is too hard for a cheap model.
 pub const HARD_WORD: &str = "hard";
+/// Models with one of these words in their name are the cheap ones.
+const WEAK_WORDS: [&str; 2] = ["small", "reader"];
 
 #[derive(Debug)]
 #[derive(Deserialize)]
@@ -30,7 +32,8 @@
 
 #[poem::handler]
 fn rate(web::Json(question): web::Json<Question>) -> web::Json<serde_json::Value> {
-    let is_weak = question.item.contains("small") && question.prompt.contains(HARD_WORD);
+    let is_cheap = WEAK_WORDS.iter().any(|word| question.item.contains(word));
+    let is_weak = is_cheap && question.prompt.contains(HARD_WORD);
     let score_percent = if is_weak { 40 } else { 95 };
     web::Json(serde_json::json!({ "score_percent": score_percent }))
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -37,6 +37,9 @@
 ///
 /// # Errors
 /// The address is in use or not one of this machine.
+///
+/// # Panics
+/// Never: a TCP listener has a socket address.
 pub async fn serve(
     address: net::SocketAddr,
     routes: poem::Route,
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -60,7 +60,9 @@
 }
 
 #[poem::handler]
-fn effects(service: web::Data<&Service>) -> web::Json<collections::BTreeMap<String, u64>> {
+fn effects(
+    web::Data(service): web::Data<&Service>,
+) -> web::Json<collections::BTreeMap<String, u64>> {
     web::Json(service.effects())
 }
 
@@ -73,7 +75,7 @@
 async fn take_effect(
     web::Path(path): web::Path<String>,
     body: String,
-    service: web::Data<&Service>,
+    web::Data(service): web::Data<&Service>,
 ) -> poem::Response {
     let number = {
         let mut counts = service
