--- a/crates/coordination/src/freshness.rs
+++ b/crates/coordination/src/freshness.rs
@@ -71,11 +71,7 @@
             return;
         }
         let hosts = to_u32(hosts_heard);
-        self.take(Confirmed {
-            at_ms: asked_ms,
-            hosts,
-            hosts_at_ms: asked_ms,
-        });
+        self.take(Confirmed { at_ms: asked_ms, hosts, hosts_at_ms: asked_ms });
     }
 
     /// Notes that a peer answered a question asked at `asked_ms`.
@@ -90,21 +86,13 @@
     pub fn catch_up(&mut self, confirmation: Confirmation, asked_ms: u64) {
         let at_ms = asked_ms.saturating_sub(confirmation.age_ms);
         let hosts_at_ms = asked_ms.saturating_sub(confirmation.hosts_age_ms);
-        self.take(Confirmed {
-            at_ms,
-            hosts: confirmation.hosts,
-            hosts_at_ms,
-        });
+        self.take(Confirmed { at_ms, hosts: confirmation.hosts, hosts_at_ms });
     }
 
     /// Treats everything as lapsed, as after a pause of this host.
     pub fn lapse(&mut self, now_ms: u64) {
         // The number of hosts still counts; the confirmation itself does not.
-        *self = Self {
-            confirmed: self.confirmed,
-            lapsed_ms: Some(now_ms),
-            ..Self::default()
-        };
+        *self = Self { confirmed: self.confirmed, lapsed_ms: Some(now_ms), ..Self::default() };
     }
 
     /// Moves time on: a host that is cut off has to catch up before it relies on peers again.
@@ -123,11 +111,7 @@
         let confirmed = self.confirmed?;
         let age_ms = now_ms.saturating_sub(confirmed.at_ms);
         let hosts_age_ms = now_ms.saturating_sub(confirmed.hosts_at_ms);
-        Some(Confirmation {
-            age_ms,
-            hosts: confirmed.hosts,
-            hosts_age_ms,
-        })
+        Some(Confirmation { age_ms, hosts: confirmed.hosts, hosts_age_ms })
     }
 
     /// Age of the last confirmation in milliseconds, if there was one.
@@ -151,9 +135,7 @@
     }
 
     fn hears_most(&self, now_ms: u64, hosts_heard: usize) -> bool {
-        let is_alone = self
-            .contact_ms
-            .is_none_or(|at_ms| now_ms > at_ms + ALONE_MS);
+        let is_alone = self.contact_ms.is_none_or(|at_ms| now_ms > at_ms + ALONE_MS);
         let hosts = self.confirmed.map_or(0, |confirmed| confirmed.hosts);
         self.has_kept_up && !is_alone && to_u32(hosts_heard) > hosts / 2
     }
--- a/crates/coordination/src/interval.rs
+++ b/crates/coordination/src/interval.rs
@@ -17,10 +17,7 @@
     /// Whether the set holds a number.
     #[must_use]
     pub fn contains(&self, number: u64) -> bool {
-        self.intervals
-            .range(..=number)
-            .next_back()
-            .is_some_and(|(_, last)| number <= *last)
+        self.intervals.range(..=number).next_back().is_some_and(|(_, last)| number <= *last)
     }
 
     /// Adds a number; returns false if the set held it already.
@@ -28,13 +25,9 @@
         if self.contains(number) {
             return false;
         }
-        let before = number
-            .checked_sub(1)
-            .and_then(|end| self.interval_ending_at(end));
+        let before = number.checked_sub(1).and_then(|end| self.interval_ending_at(end));
         let first = before.unwrap_or(number);
-        let after = number
-            .checked_add(1)
-            .and_then(|next| self.intervals.remove(&next));
+        let after = number.checked_add(1).and_then(|next| self.intervals.remove(&next));
         self.intervals.insert(first, after.unwrap_or(number));
         true
     }
--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -74,10 +74,7 @@
     /// The fencing number, if this host may rely on the lease now.
     #[must_use]
     pub fn fencing(&self, now_ms: u64) -> Option<u64> {
-        let seen = self
-            .seen
-            .as_ref()
-            .filter(|seen| seen.record.holder == self.me)?;
+        let seen = self.seen.as_ref().filter(|seen| seen.record.holder == self.me)?;
         (now_ms < self.held_until_ms).then_some(seen.record.fencing)
     }
 
@@ -95,10 +92,7 @@
         self.next_ask_ms = now_ms + self.duration_ms / 3;
         let step = self.next_call(now_ms);
         if let Step::Call(call) = &step {
-            self.asked = Some(Asked {
-                record: written_record(call),
-                at_ms: now_ms,
-            });
+            self.asked = Some(Asked { record: written_record(call), at_ms: now_ms });
         }
         step
     }
@@ -122,11 +116,7 @@
 
     fn next_call(&self, now_ms: u64) -> Step {
         let Some(seen) = &self.seen else {
-            let record = LeaseRecord {
-                holder: self.me,
-                fencing: 1,
-                renewals: 0,
-            };
+            let record = LeaseRecord { holder: self.me, fencing: 1, renewals: 0 };
             return Step::Call(platform::Call::Create {
                 key: self.key.clone(),
                 value: encode(&record),
@@ -135,17 +125,11 @@
         let is_mine = seen.record.holder == self.me && now_ms < self.held_until_ms;
         let is_silent = now_ms >= seen.since_ms + 2 * self.duration_ms;
         if seen.version == 0 || !(is_mine || is_silent) {
-            return Step::Call(platform::Call::Read {
-                key: self.key.clone(),
-            });
+            return Step::Call(platform::Call::Read { key: self.key.clone() });
         }
         let fencing = seen.record.fencing + u64::from(!is_mine);
         let renewals = seen.record.renewals + 1;
-        let record = LeaseRecord {
-            holder: self.me,
-            fencing,
-            renewals,
-        };
+        let record = LeaseRecord { holder: self.me, fencing, renewals };
         Step::Call(platform::Call::Update {
             key: self.key.clone(),
             version: seen.version,
@@ -165,27 +149,15 @@
             Some(seen) if is_same => seen.since_ms,
             _ => now_ms,
         };
-        self.seen = Some(Seen {
-            record,
-            version,
-            since_ms,
-        });
+        self.seen = Some(Seen { record, version, since_ms });
     }
 
     fn forget_version(&mut self) {
         if let Some(seen) = &mut self.seen {
             seen.version = 0;
         } else {
-            let record = LeaseRecord {
-                holder: identity::HostId(0),
-                fencing: 0,
-                renewals: 0,
-            };
-            self.seen = Some(Seen {
-                record,
-                version: 0,
-                since_ms: 0,
-            });
+            let record = LeaseRecord { holder: identity::HostId(0), fencing: 0, renewals: 0 };
+            self.seen = Some(Seen { record, version: 0, since_ms: 0 });
         }
     }
 }
--- a/crates/coordination/src/ledger/backup.rs
+++ b/crates/coordination/src/ledger/backup.rs
@@ -60,12 +60,8 @@
         for (number, open) in &mut self.open {
             open.is_kept = false;
             let organisation = Arc::clone(&open.organisation);
-            self.queue.push(message::Note::Opened {
-                number: *number,
-                organisation,
-            });
-            self.queue
-                .extend(open.bill.clone().map(message::Note::Billed));
+            self.queue.push(message::Note::Opened { number: *number, organisation });
+            self.queue.extend(open.bill.clone().map(message::Note::Billed));
         }
     }
 
@@ -77,19 +73,9 @@
 
     /// Notes that a request was admitted.
     pub fn open(&mut self, number: u64, organisation: Arc<str>) {
-        let note = message::Note::Opened {
-            number,
-            organisation: Arc::clone(&organisation),
-        };
+        let note = message::Note::Opened { number, organisation: Arc::clone(&organisation) };
         self.queue.push(note);
-        self.open.insert(
-            number,
-            Open {
-                organisation,
-                bill: None,
-                is_kept: false,
-            },
-        );
+        self.open.insert(number, Open { organisation, bill: None, is_kept: false });
     }
 
     /// Notes the bill of a request.
@@ -125,11 +111,7 @@
         if self.in_flight.is_none() && !self.queue.is_empty() {
             self.sequence += 1;
             let notes = std::mem::take(&mut self.queue);
-            let in_flight = InFlight {
-                sequence: self.sequence,
-                notes,
-                next_send_ms: now_ms,
-            };
+            let in_flight = InFlight { sequence: self.sequence, notes, next_send_ms: now_ms };
             self.in_flight = Some(in_flight);
         }
         let in_flight = self.in_flight.as_mut()?;
@@ -152,13 +134,8 @@
             return Vec::new();
         }
         self.next_forget_ms = now_ms + RESEND_MS;
-        let message = message::Message::Forget {
-            sequence: self.sequence,
-        };
-        self.former
-            .iter()
-            .map(|host| (*host, message.clone()))
-            .collect()
+        let message = message::Message::Forget { sequence: self.sequence };
+        self.former.iter().map(|host| (*host, message.clone())).collect()
     }
 
     /// Notes that a former backup has forgotten, or is gone.
@@ -168,10 +145,7 @@
 
     /// Takes the backup's word that notes are kept; returns the requests now known there.
     pub fn kept(&mut self, from: identity::HostId, sequence: u64) -> Vec<u64> {
-        let is_answer = self
-            .in_flight
-            .as_ref()
-            .is_some_and(|f| f.sequence == sequence);
+        let is_answer = self.in_flight.as_ref().is_some_and(|f| f.sequence == sequence);
         if !is_answer || self.backup != Some(from) {
             return Vec::new();
         }
@@ -294,9 +268,7 @@
             let kept = self.kept.remove(&host).unwrap_or_default();
             self.count -= kept.requests.len();
             bills.extend(
-                kept.requests
-                    .into_iter()
-                    .map(|(number, kept)| orphan_bill(host, number, kept)),
+                kept.requests.into_iter().map(|(number, kept)| orphan_bill(host, number, kept)),
             );
         }
         bills
@@ -312,14 +284,8 @@
 impl KeptHost {
     fn take(&mut self, note: message::Note) {
         match note {
-            message::Note::Opened {
-                number,
-                organisation,
-            } => {
-                self.requests.entry(number).or_insert(Kept {
-                    organisation,
-                    bill: None,
-                });
+            message::Note::Opened { number, organisation } => {
+                self.requests.entry(number).or_insert(Kept { organisation, bill: None });
             }
             message::Note::Billed(bill) => {
                 if let Some(kept) = self.requests.get_mut(&bill.id.number) {
--- a/crates/coordination/src/ledger/journal.rs
+++ b/crates/coordination/src/ledger/journal.rs
@@ -6,12 +6,14 @@
 use crate::ledger::entry;
 use crate::ledger::message;
 
-/// Time after which an entry without a verdict is sent again, in milliseconds.
-pub const RESEND_MS: u64 = 400;
+/// Time after which an entry without a verdict is first sent again, in milliseconds.
+pub const RESEND_MIN_MS: u64 = 400;
+/// Longest time between two sends of an entry, in milliseconds.
+pub const RESEND_MAX_MS: u64 = 6_400;
 /// Most bytes of entries that wait, in bytes.
 pub const PENDING_MAX_BYTES: usize = 32 * 1024 * 1024;
-/// Most entries in one message.
-const MESSAGE_MAX: usize = 512;
+/// Most entries of a shard that are on their way at a time; the others wait their turn.
+const WINDOW: usize = 512;
 
 /// Entries for the owner of one shard.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,18 +24,38 @@
     pub submissions: Vec<message::Submission>,
 }
 
+/// What goes first when the platform is slow: claims hold requests up, bills only wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    Claim,
+    Bill,
+}
+
+/// Where an entry stands in its lane.
+type Turn = (Urgency, u64);
+
 #[derive(Debug)]
 struct Pending {
     shard: u32,
     entry: entry::Entry,
     bytes: usize,
     next_send_ms: u64,
+    resend_ms: u64,
+}
+
+/// The entries for one shard in the order of their turn.
+#[derive(Debug, Default)]
+struct Lane {
+    turns: collections::BTreeSet<Turn>,
+    /// Before this time nothing in the window is due, in milliseconds.
+    next_due_ms: u64,
 }
 
 /// The entries of this host that wait for a verdict.
 #[derive(Debug, Default)]
 pub struct Journal {
     pending: collections::BTreeMap<u64, Pending>,
+    lanes: collections::BTreeMap<u32, Lane>,
     next_number: u64,
     pending_bytes: usize,
 }
@@ -75,46 +97,80 @@
         self.next_number += 1;
         let bytes = entry_bytes(&entry);
         self.pending_bytes += bytes;
-        self.pending.insert(
-            number,
-            Pending {
-                shard,
-                entry,
-                bytes,
-                next_send_ms: 0,
-            },
-        );
+        let lane = self.lanes.entry(shard).or_default();
+        lane.turns.insert(turn(number, &entry));
+        lane.next_due_ms = 0;
+        let pending = Pending { shard, entry, bytes, next_send_ms: 0, resend_ms: RESEND_MIN_MS };
+        self.pending.insert(number, pending);
         number
     }
 
     /// Entries that are due, by shard.
     pub fn due(&mut self, now_ms: u64) -> Vec<Outgoing> {
-        let mut by_shard: collections::BTreeMap<u32, Vec<message::Submission>> =
-            collections::BTreeMap::new();
-        for (number, pending) in &mut self.pending {
-            let submissions = by_shard.entry(pending.shard).or_default();
-            if now_ms >= pending.next_send_ms && submissions.len() < MESSAGE_MAX {
-                pending.next_send_ms = now_ms + RESEND_MS;
-                let entry = pending.entry.clone();
-                submissions.push(message::Submission {
-                    number: *number,
-                    entry,
-                });
+        let mut outgoing = Vec::new();
+        for (shard, lane) in &mut self.lanes {
+            if now_ms < lane.next_due_ms {
+                continue;
+            }
+            let submissions = due_of_lane(lane, &mut self.pending, now_ms);
+            if !submissions.is_empty() {
+                outgoing.push(Outgoing { shard: *shard, submissions });
             }
         }
-        by_shard
-            .into_iter()
-            .filter(|(_, submissions)| !submissions.is_empty())
-            .map(|(shard, submissions)| Outgoing { shard, submissions })
-            .collect()
+        outgoing
     }
 
     /// Takes a verdict; returns the entry if it was still waiting.
     pub fn decide(&mut self, number: u64) -> Option<entry::Entry> {
         let pending = self.pending.remove(&number)?;
         self.pending_bytes -= pending.bytes;
+        if let Some(lane) = self.lanes.get_mut(&pending.shard) {
+            lane.turns.remove(&turn(number, &pending.entry));
+            // The window has room for the next one.
+            lane.next_due_ms = 0;
+        }
         Some(pending.entry)
     }
+
+    /// Sends everything again soon, as after a change of owners.
+    pub fn owners_changed(&mut self) {
+        for pending in self.pending.values_mut() {
+            pending.next_send_ms = 0;
+            pending.resend_ms = RESEND_MIN_MS;
+        }
+        for lane in self.lanes.values_mut() {
+            lane.next_due_ms = 0;
+        }
+    }
+}
+
+fn due_of_lane(
+    lane: &mut Lane,
+    pending: &mut collections::BTreeMap<u64, Pending>,
+    now_ms: u64,
+) -> Vec<message::Submission> {
+    let mut submissions = Vec::new();
+    lane.next_due_ms = u64::MAX;
+    for (_, number) in lane.turns.iter().take(WINDOW) {
+        let Some(pending) = pending.get_mut(number) else {
+            continue;
+        };
+        if now_ms >= pending.next_send_ms {
+            pending.next_send_ms = now_ms + pending.resend_ms;
+            pending.resend_ms = (pending.resend_ms * 2).min(RESEND_MAX_MS);
+            let entry = pending.entry.clone();
+            submissions.push(message::Submission { number: *number, entry });
+        }
+        lane.next_due_ms = lane.next_due_ms.min(pending.next_send_ms);
+    }
+    submissions
+}
+
+fn turn(number: u64, entry: &entry::Entry) -> Turn {
+    match entry {
+        entry::Entry::Bill(_) => (Urgency::Bill, number),
+        _ => (Urgency::Claim, number),
+    }
 }
 
 /// The shard that holds a claim.
--- a/crates/coordination/src/ledger/mod.rs
+++ b/crates/coordination/src/ledger/mod.rs
@@ -10,4 +10,5 @@
 pub mod journal;
 pub mod message;
 pub mod owner;
+pub mod queue;
 pub mod state;
--- a/crates/coordination/src/ledger/owner.rs
+++ b/crates/coordination/src/ledger/owner.rs
@@ -7,6 +7,7 @@
 use crate::identity;
 use crate::ledger::entry;
 use crate::ledger::message;
+use crate::ledger::queue;
 use crate::ledger::state;
 use crate::platform;
 
@@ -16,8 +17,6 @@
 pub const CHECKPOINT_EVERY: u64 = 256;
 /// Largest object that is written, in bytes.
 pub const OBJECT_MAX_BYTES: usize = 1_000_000;
-/// Most entries waiting at one owner.
-pub const QUEUE_MAX: usize = 65_536;
 /// Most entries in one batch.
 const BATCH_MAX: usize = 2_048;
 /// Most batches read by one call.
@@ -45,19 +44,12 @@
     CheckpointTooLarge,
 }
 
-/// An entry waiting for its verdict.
-#[derive(Debug, Clone)]
-struct Waiting {
-    from: identity::HostId,
-    submission: message::Submission,
-}
-
 /// A batch on its way to the platform.
 #[derive(Debug)]
 struct Write {
     value: Arc<[u8]>,
     batch: entry::Batch,
-    waiting: Vec<Waiting>,
+    waiting: Vec<queue::Waiting>,
 }
 
 #[derive(Debug)]
@@ -89,7 +81,7 @@
     state: state::ShardState,
     checkpoint_version: Option<platform::Version>,
     checkpoint_next: u64,
-    queue: collections::VecDeque<Waiting>,
+    queue: queue::Queue,
     next_nonce: u64,
     next_call_ms: u64,
     retry_ms: u64,
@@ -108,7 +100,7 @@
             state: state::ShardState::default(),
             checkpoint_version: None,
             checkpoint_next: 0,
-            queue: collections::VecDeque::new(),
+            queue: queue::Queue::default(),
             next_nonce: nonce,
             next_call_ms: 0,
             retry_ms: RETRY_MIN_MS,
@@ -133,10 +125,7 @@
     /// Whether the shard's log has been read to its end.
     #[must_use]
     pub fn is_loaded(&self) -> bool {
-        !matches!(
-            self.phase,
-            Phase::Idle | Phase::ReadCheckpoint | Phase::ReadLog
-        )
+        !matches!(self.phase, Phase::Idle | Phase::ReadCheckpoint | Phase::ReadLog)
     }
 
     /// The state that the log adds up to, as far as read.
@@ -158,12 +147,9 @@
         for submission in submissions {
             match self.known_verdict(&submission.entry) {
                 Some(verdict) => {
-                    decided.push(message::Decided {
-                        number: submission.number,
-                        verdict,
-                    });
+                    decided.push(message::Decided { number: submission.number, verdict });
                 }
-                None => self.enqueue(from, submission),
+                None => self.queue.push(queue::Waiting { from, submission }),
             }
         }
         verdicts(from, decided)
@@ -174,10 +160,10 @@
         if self.is_asked || now_ms < self.next_call_ms {
             return Vec::new();
         }
+        let mut effects = Vec::new();
         if matches!(self.phase, Phase::Ready) {
-            self.leave_ready(wall_s);
+            self.leave_ready(wall_s, &mut effects);
         }
-        let mut effects = Vec::new();
         if let Some(call) = self.next_call(&mut effects) {
             self.is_asked = true;
             effects.push(Effect::Call(call));
@@ -226,52 +212,47 @@
         }
     }
 
-    fn enqueue(&mut self, from: identity::HostId, submission: message::Submission) {
-        let is_waiting = self
-            .queue
-            .iter()
-            .any(|w| w.from == from && w.submission.number == submission.number);
-        if !is_waiting && self.queue.len() < QUEUE_MAX {
-            self.queue.push_back(Waiting { from, submission });
-        }
-    }
-
-    fn leave_ready(&mut self, wall_s: u64) {
+    fn leave_ready(&mut self, wall_s: u64, effects: &mut Vec<Effect>) {
         if !self.is_wanted {
             self.queue.clear();
             self.phase = Phase::Idle;
-        } else if !self.queue.is_empty() {
-            self.phase = Phase::Writing(self.next_write(wall_s));
+            return;
+        }
+        let waiting = self.next_waiting(effects);
+        if !waiting.is_empty() {
+            self.phase = Phase::Writing(self.next_write(waiting, wall_s));
         } else if self.state.next >= self.checkpoint_next + CHECKPOINT_EVERY {
             self.phase = Phase::Checkpointing;
         }
     }
 
-    fn next_write(&mut self, wall_s: u64) -> Write {
-        let count = self.queue.len().min(BATCH_MAX);
-        let waiting: Vec<Waiting> = self.queue.drain(..count).collect();
+    /// Takes entries for the next batch; those sent again meanwhile have their verdict already.
+    fn next_waiting(&mut self, effects: &mut Vec<Effect>) -> Vec<queue::Waiting> {
+        let mut waiting = Vec::new();
+        for next in self.queue.take(BATCH_MAX) {
+            match self.known_verdict(&next.submission.entry) {
+                Some(verdict) => {
+                    let decided = message::Decided { number: next.submission.number, verdict };
+                    effects.extend(verdicts(next.from, vec![decided]));
+                }
+                None => waiting.push(next),
+            }
+        }
+        waiting
+    }
+
+    fn next_write(&mut self, waiting: Vec<queue::Waiting>, wall_s: u64) -> Write {
         let entries = waiting.iter().map(|w| w.submission.entry.clone()).collect();
-        let batch = entry::Batch {
-            owner: self.me,
-            nonce: self.next_nonce,
-            at_s: wall_s,
-            entries,
-        };
+        let batch = entry::Batch { owner: self.me, nonce: self.next_nonce, at_s: wall_s, entries };
         self.next_nonce = self.next_nonce.wrapping_add(1);
         let value = postcard::to_stdvec(&batch).unwrap_or_default().into();
-        Write {
-            value,
-            batch,
-            waiting,
-        }
+        Write { value, batch, waiting }
     }
 
     fn next_call(&mut self, effects: &mut Vec<Effect>) -> Option<platform::Call> {
         match &self.phase {
             Phase::Idle | Phase::Ready => None,
-            Phase::ReadCheckpoint => Some(platform::Call::Read {
-                key: checkpoint_key(self.shard),
-            }),
+            Phase::ReadCheckpoint => Some(platform::Call::Read { key: checkpoint_key(self.shard) }),
             Phase::ReadLog => Some(platform::Call::List {
                 prefix: log_prefix(self.shard),
                 after: self.last_key(),
@@ -281,9 +262,9 @@
                 key: log_key(self.shard, self.state.next),
                 value: Arc::clone(&write.value),
             }),
-            Phase::ReadingBack(_) => Some(platform::Call::Read {
-                key: log_key(self.shard, self.state.next),
-            }),
+            Phase::ReadingBack(_) => {
+                Some(platform::Call::Read { key: log_key(self.shard, self.state.next) })
+            }
             Phase::Checkpointing => self.checkpoint_call(effects),
         }
     }
@@ -298,11 +279,7 @@
         }
         let key = checkpoint_key(self.shard);
         Some(match self.checkpoint_version {
-            Some(version) => platform::Call::Update {
-                key,
-                version,
-                value,
-            },
+            Some(version) => platform::Call::Update { key, version, value },
             None => platform::Call::Create { key, value },
         })
     }
@@ -356,9 +333,7 @@
             }
             platform::Reply::Found(object) => {
                 self.apply_foreign(&object.value);
-                for waiting in write.waiting.into_iter().rev() {
-                    self.queue.push_front(waiting);
-                }
+                self.queue.put_back(write.waiting);
                 // Whoever wrote may have written more: read on before trying again.
                 self.phase = Phase::ReadLog;
                 vec![Effect::Raced]
@@ -383,26 +358,16 @@
         let verdicts_in_order = self.state.apply(&write.batch);
         for (waiting, verdict) in write.waiting.into_iter().zip(verdicts_in_order) {
             let number = waiting.submission.number;
-            by_host
-                .entry(waiting.from)
-                .or_default()
-                .push(message::Decided { number, verdict });
+            by_host.entry(waiting.from).or_default().push(message::Decided { number, verdict });
         }
         self.next_call_ms = now_ms + WRITE_GAP_MS;
         self.phase = Phase::Ready;
-        by_host
-            .into_iter()
-            .flat_map(|(host, decided)| verdicts(host, decided))
-            .collect()
+        by_host.into_iter().flat_map(|(host, decided)| verdicts(host, decided)).collect()
     }
 
     fn apply_foreign(&mut self, value: &[u8]) {
-        let empty = || entry::Batch {
-            owner: identity::HostId(0),
-            nonce: 0,
-            at_s: 0,
-            entries: Vec::new(),
-        };
+        let empty =
+            || entry::Batch { owner: identity::HostId(0), nonce: 0, at_s: 0, entries: Vec::new() };
         let batch = postcard::from_bytes(value).unwrap_or_else(|_| empty());
         self.state.apply(&batch);
     }
@@ -416,11 +381,7 @@
 }
 
 fn verdicts(to: identity::HostId, decided: Vec<message::Decided>) -> Vec<Effect> {
-    if decided.is_empty() {
-        Vec::new()
-    } else {
-        vec![Effect::Verdicts { to, decided }]
-    }
+    if decided.is_empty() { Vec::new() } else { vec![Effect::Verdicts { to, decided }] }
 }
 
 /// Prefix of the batches of a shard.
--- a/crates/coordination/src/ledger/state.rs
+++ b/crates/coordination/src/ledger/state.rs
@@ -69,11 +69,7 @@
     #[must_use]
     pub fn judge(&self, entry: &entry::Entry) -> Judgement {
         match entry {
-            entry::Entry::Claim {
-                key,
-                claim,
-                content,
-            } => self.judge_claim(*key, *claim, *content),
+            entry::Entry::Claim { key, claim, content } => self.judge_claim(*key, *claim, *content),
             entry::Entry::Release { claim, .. } => self.judge_release(*claim),
             entry::Entry::Settle { key, claim, .. } => self.judge_settle(*key, *claim),
             entry::Entry::Bill(bill) => self.judge_bill(bill.id),
@@ -84,11 +80,7 @@
     pub fn apply(&mut self, batch: &entry::Batch) -> Vec<entry::Verdict> {
         self.next += 1;
         self.at_s = self.at_s.max(batch.at_s);
-        let verdicts = batch
-            .entries
-            .iter()
-            .map(|entry| self.apply_entry(entry))
-            .collect();
+        let verdicts = batch.entries.iter().map(|entry| self.apply_entry(entry)).collect();
         self.expire();
         verdicts
     }
@@ -163,18 +155,9 @@
             Judgement::Append(verdict) => verdict,
         };
         match entry {
-            entry::Entry::Claim {
-                key,
-                claim,
-                content,
-            } => {
+            entry::Entry::Claim { key, claim, content } => {
                 let at_s = self.at_s;
-                let state = ClaimState {
-                    claim: *claim,
-                    content: *content,
-                    at_s,
-                    answer: None,
-                };
+                let state = ClaimState { claim: *claim, content: *content, at_s, answer: None };
                 self.claims.insert(*key, state);
             }
             entry::Entry::Release { key, claim } => self.apply_release(*key, *claim),
@@ -189,28 +172,15 @@
     }
 
     fn apply_release(&mut self, key: entry::ClaimKey, claim: entry::ClaimId) {
-        self.released
-            .entry(claim.host)
-            .or_default()
-            .insert(claim.number);
-        if self
-            .claims
-            .get(&key)
-            .is_some_and(|held| held.claim == claim && held.answer.is_none())
-        {
+        self.released.entry(claim.host).or_default().insert(claim.number);
+        if self.claims.get(&key).is_some_and(|held| held.claim == claim && held.answer.is_none()) {
             self.claims.remove(&key);
         }
     }
 
     fn apply_bill(&mut self, bill: &entry::Bill) {
-        self.billed
-            .entry(bill.id.host)
-            .or_default()
-            .insert(bill.id.number);
-        let total = self
-            .totals
-            .entry(Arc::clone(&bill.organisation))
-            .or_default();
+        self.billed.entry(bill.id.host).or_default().insert(bill.id.number);
+        let total = self.totals.entry(Arc::clone(&bill.organisation)).or_default();
         total.bills += 1;
         total.tokens += bill.tokens;
         total.cost_microcents += bill.cost_microcents;
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -178,16 +178,8 @@
         now_ms: u64,
     ) -> Self {
         let me = info.id;
-        let record = Record {
-            info,
-            incarnation: 0,
-            status: Status::Alive,
-            leaving: false,
-        };
-        let member = Member {
-            record,
-            since_ms: now_ms,
-        };
+        let record = Record { info, incarnation: 0, status: Status::Alive, leaving: false };
+        let member = Member { record, since_ms: now_ms };
         let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
         let next_probe_ms = now_ms + rng.random_range(0..PROBE_INTERVAL_MS);
         let next_sync_ms = now_ms + rng.random_range(0..SYNC_INTERVAL_MS);
@@ -215,12 +207,9 @@
 
     /// Members that may be given new work or ownership.
     pub fn eligible(&self) -> impl Iterator<Item = &Record> {
-        self.members
-            .values()
-            .map(|member| &member.record)
-            .filter(|record| {
-                !record.leaving && matches!(record.status, Status::Alive | Status::Suspect)
-            })
+        self.members.values().map(|member| &member.record).filter(|record| {
+            !record.leaving && matches!(record.status, Status::Alive | Status::Suspect)
+        })
     }
 
     /// Ids of the members that may be given new work or ownership.
@@ -231,9 +220,7 @@
     /// The address of a member.
     #[must_use]
     pub fn address_of(&self, host: identity::HostId) -> Option<net::SocketAddr> {
-        self.members
-            .get(&host)
-            .map(|member| member.record.info.peer_address)
+        self.members.get(&host).map(|member| member.record.info.peer_address)
     }
 
     /// Picks up to `count` other members that are not dead.
@@ -269,8 +256,7 @@
         let mut effects = self.notice_pause(now_ms);
         self.check_probe(now_ms, &mut effects);
         self.expire_suspects(now_ms, &mut effects);
-        self.relays
-            .retain(|_, relay| now_ms < relay.sent_ms + PROBE_INTERVAL_MS);
+        self.relays.retain(|_, relay| now_ms < relay.sent_ms + PROBE_INTERVAL_MS);
         if now_ms >= self.next_probe_ms {
             self.next_probe_ms = now_ms + PROBE_INTERVAL_MS;
             self.start_probe(now_ms, &mut effects);
@@ -309,11 +295,7 @@
     pub fn receive(&mut self, from: net::SocketAddr, message: Message, now_ms: u64) -> Vec<Effect> {
         let mut effects = Vec::new();
         match message {
-            Message::Ping {
-                target,
-                nonce,
-                updates,
-            } => {
+            Message::Ping { target, nonce, updates } => {
                 self.merge(updates, now_ms, &mut effects);
                 self.answer_ping(from, target, nonce, &mut effects);
             }
@@ -324,16 +306,10 @@
             Message::PingRequest { nonce, target } => {
                 self.relay_ping(from, nonce, target, now_ms, &mut effects);
             }
-            Message::Sync {
-                records,
-                wants_reply,
-            } => {
+            Message::Sync { records, wants_reply } => {
                 self.merge(records, now_ms, &mut effects);
                 if wants_reply {
-                    let message = Message::Sync {
-                        records: self.records(),
-                        wants_reply: false,
-                    };
+                    let message = Message::Sync { records: self.records(), wants_reply: false };
                     effects.push(Effect::Send { to: from, message });
                 }
             }
@@ -349,10 +325,7 @@
     }
 
     fn records(&self) -> Vec<Record> {
-        self.members
-            .values()
-            .map(|member| member.record.clone())
-            .collect()
+        self.members.values().map(|member| member.record.clone()).collect()
     }
 
     fn check_probe(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
@@ -377,21 +350,11 @@
         if let Some(address) = self.address_of(target) {
             effects.push(Effect::Reconnect { address });
             let updates = self.take_updates();
-            let message = Message::Ping {
-                target,
-                nonce,
-                updates,
-            };
-            effects.push(Effect::Send {
-                to: address,
-                message,
-            });
+            let message = Message::Ping { target, nonce, updates };
+            effects.push(Effect::Send { to: address, message });
         }
         for to in self.sample(INDIRECT_PROBES) {
-            effects.push(Effect::Send {
-                to,
-                message: Message::PingRequest { nonce, target },
-            });
+            effects.push(Effect::Send { to, message: Message::PingRequest { nonce, target } });
         }
     }
 
@@ -404,20 +367,8 @@
         };
         let nonce = self.rng.random_range(1..u64::MAX);
         let updates = self.take_updates();
-        effects.push(Effect::Send {
-            to,
-            message: Message::Ping {
-                target,
-                nonce,
-                updates,
-            },
-        });
-        self.probe = Some(Probe {
-            nonce,
-            target,
-            sent_ms: now_ms,
-            is_indirect: false,
-        });
+        effects.push(Effect::Send { to, message: Message::Ping { target, nonce, updates } });
+        self.probe = Some(Probe { nonce, target, sent_ms: now_ms, is_indirect: false });
     }
 
     /// Takes members in a random order that is drawn anew once all had their turn.
@@ -430,10 +381,8 @@
                 rand::seq::SliceRandom::shuffle(self.probe_order.as_mut_slice(), &mut self.rng);
             }
             let target = self.probe_order.pop()?;
-            let is_probed = self
-                .members
-                .get(&target)
-                .is_some_and(|m| m.record.status != Status::Dead);
+            let is_probed =
+                self.members.get(&target).is_some_and(|m| m.record.status != Status::Dead);
             if is_probed {
                 return Some(target);
             }
@@ -453,31 +402,20 @@
             self.send_sync(&[from], effects);
         } else if nonce != 0 {
             let updates = self.take_updates();
-            effects.push(Effect::Send {
-                to: from,
-                message: Message::Ack { nonce, updates },
-            });
+            effects.push(Effect::Send { to: from, message: Message::Ack { nonce, updates } });
         }
     }
 
     fn take_ack(&mut self, nonce: u64, now_ms: u64, effects: &mut Vec<Effect>) {
         if let Some(relay) = self.relays.remove(&nonce) {
-            let message = Message::Ack {
-                nonce: relay.nonce,
-                updates: Vec::new(),
-            };
-            effects.push(Effect::Send {
-                to: relay.from,
-                message,
-            });
+            let message = Message::Ack { nonce: relay.nonce, updates: Vec::new() };
+            effects.push(Effect::Send { to: relay.from, message });
             return;
         }
         let Some(probe) = self.probe.take_if(|probe| probe.nonce == nonce) else {
             return;
         };
-        effects.push(Effect::Acked {
-            sent_ms: probe.sent_ms,
-        });
+        effects.push(Effect::Acked { sent_ms: probe.sent_ms });
         // An answer clears one's own suspicion; the member's refutation clears that of others.
         if let Some(member) = self.members.get_mut(&probe.target)
             && member.record.status == Status::Suspect
@@ -487,11 +425,7 @@
             let record = self.members[&probe.target].record.clone();
             let to = record.info.peer_address;
             let target = record.info.id;
-            let message = Message::Ping {
-                target,
-                nonce: 0,
-                updates: vec![record],
-            };
+            let message = Message::Ping { target, nonce: 0, updates: vec![record] };
             effects.push(Effect::Send { to, message });
         }
     }
@@ -508,19 +442,8 @@
             return;
         };
         let own = self.rng.random_range(1..u64::MAX);
-        self.relays.insert(
-            own,
-            Relay {
-                nonce,
-                from,
-                sent_ms: now_ms,
-            },
-        );
-        let message = Message::Ping {
-            target,
-            nonce: own,
-            updates: Vec::new(),
-        };
+        self.relays.insert(own, Relay { nonce, from, sent_ms: now_ms });
+        let message = Message::Ping { target, nonce: own, updates: Vec::new() };
         effects.push(Effect::Send { to, message });
     }
 
@@ -529,10 +452,7 @@
             return;
         };
         if matches!(member.record.status, Status::Alive | Status::Leaving) {
-            let record = Record {
-                status: Status::Suspect,
-                ..member.record.clone()
-            };
+            let record = Record { status: Status::Suspect, ..member.record.clone() };
             self.adopt(record, now_ms, effects);
         }
     }
@@ -543,10 +463,7 @@
             .members
             .values()
             .filter(|m| m.record.status == Status::Suspect && now_ms >= m.since_ms + limit_ms)
-            .map(|m| Record {
-                status: Status::Dead,
-                ..m.record.clone()
-            })
+            .map(|m| Record { status: Status::Dead, ..m.record.clone() })
             .collect();
         for record in expired {
             self.adopt(record, now_ms, effects);
@@ -573,10 +490,7 @@
 
     fn send_sync(&self, peers: &[net::SocketAddr], effects: &mut Vec<Effect>) {
         for to in peers {
-            let message = Message::Sync {
-                records: self.records(),
-                wants_reply: true,
-            };
+            let message = Message::Sync { records: self.records(), wants_reply: true };
             effects.push(Effect::Send { to: *to, message });
         }
     }
@@ -609,11 +523,7 @@
         if let Some(me) = self.members.get_mut(&self.me) {
             me.record.incarnation += 1;
             me.record.leaving = leaving;
-            me.record.status = if leaving {
-                Status::Leaving
-            } else {
-                Status::Alive
-            };
+            me.record.status = if leaving { Status::Leaving } else { Status::Alive };
             me.since_ms = now_ms.max(me.since_ms);
         }
         self.rumours.insert(self.me, 0);
@@ -641,13 +551,7 @@
         if known.is_none() && status == Status::Dead {
             return;
         }
-        self.members.insert(
-            host,
-            Member {
-                record,
-                since_ms: now_ms,
-            },
-        );
+        self.members.insert(host, Member { record, since_ms: now_ms });
         self.rumours.insert(host, 0);
         if known != Some(status) {
             effects.push(Effect::Changed { host, status });
@@ -656,14 +560,11 @@
 
     /// Whether a later start is known under the same address.
     fn is_replaced(&self, record: &Record) -> bool {
-        self.members
-            .values()
-            .map(|member| &member.record.info)
-            .any(|other| {
-                other.id != record.info.id
-                    && other.peer_address == record.info.peer_address
-                    && other.started_ms > record.info.started_ms
-            })
+        self.members.values().map(|member| &member.record.info).any(|other| {
+            other.id != record.info.id
+                && other.peer_address == record.info.peer_address
+                && other.started_ms > record.info.started_ms
+        })
     }
 
     /// A later start under the same address proves that the earlier run is over.
@@ -679,10 +580,7 @@
                     && old.info.started_ms < record.info.started_ms
                     && old.status != Status::Dead
             })
-            .map(|old| Record {
-                status: Status::Dead,
-                ..old.clone()
-            })
+            .map(|old| Record { status: Status::Dead, ..old.clone() })
             .collect();
         for old in replaced {
             self.adopt(old, now_ms, effects);
@@ -692,11 +590,8 @@
     /// Takes the least-told rumours and counts them as told once more.
     fn take_updates(&mut self) -> Vec<Record> {
         let tellings_max = 3 * ((self.members.len() + 1).ilog2() + 1);
-        let mut told: Vec<(u32, identity::HostId)> = self
-            .rumours
-            .iter()
-            .map(|(host, count)| (*count, *host))
-            .collect();
+        let mut told: Vec<(u32, identity::HostId)> =
+            self.rumours.iter().map(|(host, count)| (*count, *host)).collect();
         told.sort_unstable();
         told.truncate(UPDATES_MAX);
         let mut updates = Vec::new();
--- a/crates/coordination/src/parts.rs
+++ b/crates/coordination/src/parts.rs
@@ -32,12 +32,7 @@
                 .filter(|(key, text)| self.0.get(*key) != Some(*text))
                 .map(|(key, text)| (Arc::clone(key), Arc::clone(text)))
                 .collect(),
-            removed: self
-                .0
-                .keys()
-                .filter(|key| !next.0.contains_key(*key))
-                .cloned()
-                .collect(),
+            removed: self.0.keys().filter(|key| !next.0.contains_key(*key)).cloned().collect(),
         }
     }
 
--- a/crates/coordination/src/registry.rs
+++ b/crates/coordination/src/registry.rs
@@ -96,9 +96,7 @@
         Self {
             objects: collections::BTreeMap::new(),
             position: Position::default(),
-            stage: Stage::List {
-                after: String::new(),
-            },
+            stage: Stage::List { after: String::new() },
             listed_version: 0,
             asked_ms: None,
             next_ask_ms: now_ms,
@@ -161,16 +159,9 @@
     pub fn receive(&mut self, from: net::SocketAddr, message: Message) -> Vec<Effect> {
         match message {
             Message::Fetch { after } => {
-                let objects = self
-                    .objects
-                    .values()
-                    .filter(|o| o.version > after)
-                    .cloned()
-                    .collect();
-                vec![Effect::Send {
-                    to: from,
-                    message: Message::Objects(objects),
-                }]
+                let objects =
+                    self.objects.values().filter(|o| o.version > after).cloned().collect();
+                vec![Effect::Send { to: from, message: Message::Objects(objects) }]
             }
             Message::Objects(objects) => self.take_and_spread(objects),
         }
@@ -194,10 +185,7 @@
         } else {
             return Vec::new();
         };
-        vec![Effect::Send {
-            to: from,
-            message: Message::Fetch { after },
-        }]
+        vec![Effect::Send { to: from, message: Message::Fetch { after } }]
     }
 
     fn take_and_spread(&mut self, objects: Vec<platform::Object>) -> Vec<Effect> {
@@ -205,10 +193,7 @@
         if changed.is_empty() {
             return Vec::new();
         }
-        vec![
-            Effect::Spread(Message::Objects(changed.clone())),
-            Effect::Changed(changed),
-        ]
+        vec![Effect::Spread(Message::Objects(changed.clone())), Effect::Changed(changed)]
     }
 
     fn call(&self, duty: replica::Duty) -> platform::Call {
@@ -237,9 +222,9 @@
                     self.listed_version = version;
                 }
                 self.stage = match objects.last() {
-                    Some(last) if objects.len() >= LIST_LIMIT as usize => Stage::List {
-                        after: last.key.clone(),
-                    },
+                    Some(last) if objects.len() >= LIST_LIMIT as usize => {
+                        Stage::List { after: last.key.clone() }
+                    }
                     _ => Stage::Watch,
                 };
             }
@@ -250,10 +235,7 @@
     fn take(&mut self, objects: Vec<platform::Object>) -> Vec<platform::Object> {
         let mut changed = Vec::new();
         for object in objects {
-            let known = self
-                .objects
-                .get(object.key.as_str())
-                .map(|known| known.version);
+            let known = self.objects.get(object.key.as_str()).map(|known| known.version);
             if known.is_some_and(|version| version >= object.version) {
                 continue;
             }
@@ -262,8 +244,7 @@
             }
             self.position.digest ^= object_digest(&object.key, object.version);
             self.position.version = self.position.version.max(object.version);
-            self.objects
-                .insert(Arc::from(object.key.as_str()), object.clone());
+            self.objects.insert(Arc::from(object.key.as_str()), object.clone());
             changed.push(object);
         }
         changed
--- a/crates/coordination/src/rendezvous.rs
+++ b/crates/coordination/src/rendezvous.rs
@@ -17,9 +17,7 @@
 where
     I: IntoIterator<Item = identity::HostId>,
 {
-    hosts
-        .into_iter()
-        .max_by_key(|host| (weight(key, *host), *host))
+    hosts.into_iter().max_by_key(|host| (weight(key, *host), *host))
 }
 
 /// The `count` hosts that rank first for a key, in order.
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -209,10 +209,7 @@
             (Stage::Settled, Duty::Listen) if is_silent => AskedKind::Log,
             (Stage::Settled, Duty::Listen) => return Vec::new(),
         };
-        self.asked = Some(Asked {
-            at_ms: now_ms,
-            kind,
-        });
+        self.asked = Some(Asked { at_ms: now_ms, kind });
         vec![Effect::Call(self.call(kind))]
     }
 
@@ -254,10 +251,7 @@
     ) -> Vec<Effect> {
         match message {
             Message::Fetch { have } => {
-                vec![Effect::Send {
-                    to: from,
-                    message: self.answer_to(have),
-                }]
+                vec![Effect::Send { to: from, message: self.answer_to(have) }]
             }
             Message::Changes(changes) => {
                 self.note_answer(from, others);
@@ -277,9 +271,7 @@
         let is_behind = revision > self.snapshot.revision;
         let is_starting = !self.is_ready && !self.answered.contains(&from);
         if is_behind || is_starting {
-            let message = Message::Fetch {
-                have: self.snapshot.revision,
-            };
+            let message = Message::Fetch { have: self.snapshot.revision };
             return vec![Effect::Send { to: from, message }];
         }
         Vec::new()
@@ -287,9 +279,7 @@
 
     fn call(&self, kind: AskedKind) -> platform::Call {
         match kind {
-            AskedKind::Snapshot => platform::Call::Read {
-                key: SNAPSHOT_KEY.to_owned(),
-            },
+            AskedKind::Snapshot => platform::Call::Read { key: SNAPSHOT_KEY.to_owned() },
             AskedKind::Log => platform::Call::List {
                 prefix: LOG_PREFIX.to_owned(),
                 after: log_key(self.snapshot.revision),
@@ -338,9 +328,7 @@
                 continue;
             }
             if !self.apply(&change) {
-                return vec![Effect::Mismatch {
-                    revision: change.revision,
-                }];
+                return vec![Effect::Mismatch { revision: change.revision }];
             }
             taken.push(change);
         }
@@ -348,9 +336,7 @@
             return Vec::new();
         }
         vec![
-            Effect::Advanced {
-                revision: self.snapshot.revision,
-            },
+            Effect::Advanced { revision: self.snapshot.revision },
             Effect::Spread(Message::Changes(taken)),
         ]
     }
@@ -365,10 +351,7 @@
         if parts.digest() != change.digest {
             return false;
         }
-        self.snapshot = Snapshot {
-            revision: change.revision,
-            parts,
-        };
+        self.snapshot = Snapshot { revision: change.revision, parts };
         self.digest = change.digest;
         self.history.push_back(change.clone());
         if self.history.len() > HISTORY_MAX {
@@ -392,10 +375,7 @@
         if have >= self.snapshot.revision {
             return Message::Changes(Vec::new());
         }
-        let reaches_back = self
-            .history
-            .front()
-            .is_some_and(|first| first.revision <= have + 1);
+        let reaches_back = self.history.front().is_some_and(|first| first.revision <= have + 1);
         if reaches_back {
             let later = self.history.iter().filter(|change| change.revision > have);
             return Message::Changes(later.cloned().collect());
@@ -405,13 +385,8 @@
 
     fn fetch_after_mismatch(&self, from: net::SocketAddr, effects: Vec<Effect>) -> Vec<Effect> {
         let mut effects = effects;
-        if effects
-            .iter()
-            .any(|effect| matches!(effect, Effect::Mismatch { .. }))
-        {
-            let message = Message::Fetch {
-                have: self.snapshot.revision,
-            };
+        if effects.iter().any(|effect| matches!(effect, Effect::Mismatch { .. })) {
+            let message = Message::Fetch { have: self.snapshot.revision };
             effects.push(Effect::Send { to: from, message });
         }
         effects
--- a/crates/core/examples/randomised.rs
+++ b/crates/core/examples/randomised.rs
@@ -64,16 +64,9 @@
     let failed = lock(&failed);
     for (seed, violations) in failed.iter() {
         let first: Vec<_> = violations.iter().take(3).collect();
-        println!(
-            "seed {seed}: {} violations, first {first:?}",
-            violations.len()
-        );
-    }
-    if failed.is_empty() {
-        process::ExitCode::SUCCESS
-    } else {
-        process::ExitCode::FAILURE
+        println!("seed {seed}: {} violations, first {first:?}", violations.len());
     }
+    if failed.is_empty() { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE }
 }
 
 fn run_seed(seed: u64, arguments: &Arguments) -> (world::Report, Vec<world::Violation>) {
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -110,9 +110,7 @@
 
     /// All counts that are not zero.
     pub fn iter(&self) -> impl Iterator<Item = (Counter, u64)> {
-        self.counts
-            .iter()
-            .map(|(counter, count)| (*counter, *count))
+        self.counts.iter().map(|(counter, count)| (*counter, *count))
     }
 
     /// Refusals by reason.
--- a/crates/core/src/envelope.rs
+++ b/crates/core/src/envelope.rs
@@ -78,25 +78,16 @@
             if secret.len() < 16 {
                 return Err(error);
             }
-            keys.push(Key {
-                id,
-                secret: secret.as_bytes().into(),
-            });
-        }
-        if keys.is_empty() {
-            Err(KeysError { line: 1 })
-        } else {
-            Ok(Self(Arc::new(keys)))
+            keys.push(Key { id, secret: secret.as_bytes().into() });
         }
+        if keys.is_empty() { Err(KeysError { line: 1 }) } else { Ok(Self(Arc::new(keys))) }
     }
 }
 
 impl fmt::Debug for Keys {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let ids: Vec<u8> = self.0.iter().map(|key| key.id).collect();
-        f.debug_struct("Keys")
-            .field("ids", &ids)
-            .finish_non_exhaustive()
+        f.debug_struct("Keys").field("ids", &ids).finish_non_exhaustive()
     }
 }
 
@@ -117,14 +108,8 @@
     /// [`EnvelopeError`] if they are cut off or no known key signed them.
     pub fn verify<'a>(&self, context: &str, signed: &'a [u8]) -> Result<&'a [u8], EnvelopeError> {
         let (id, rest) = signed.split_first().ok_or(EnvelopeError::Malformed)?;
-        let (given, bytes) = rest
-            .split_at_checked(CODE_BYTES)
-            .ok_or(EnvelopeError::Malformed)?;
-        let key = self
-            .0
-            .iter()
-            .find(|key| key.id == *id)
-            .ok_or(EnvelopeError::Unauthentic)?;
+        let (given, bytes) = rest.split_at_checked(CODE_BYTES).ok_or(EnvelopeError::Malformed)?;
+        let key = self.0.iter().find(|key| key.id == *id).ok_or(EnvelopeError::Unauthentic)?;
         mac(key, context, bytes)
             .verify_truncated_left(given)
             .map_err(|_ignored| EnvelopeError::Unauthentic)?;
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -152,8 +152,10 @@
     NotSent,
     /// The server answered that it did not run the request.
     Declined,
-    /// The connection broke while the request ran.
-    Broken,
+    /// The connection broke while the request ran, and the server takes no new one.
+    Crashed,
+    /// The connection broke while the request ran; the server takes new ones.
+    Cut,
     /// The connection went silent for longer than the server's progress bound.
     Silent,
     /// The server answered with an error.
--- a/crates/core/src/host/addresses.rs
+++ b/crates/core/src/host/addresses.rs
@@ -36,11 +36,7 @@
             })
             .collect();
         ranked.sort_unstable();
-        ranked
-            .into_iter()
-            .map(|(_, _, address)| address)
-            .take(ADDRESSES_MAX)
-            .collect()
+        ranked.into_iter().map(|(_, _, address)| address).take(ADDRESSES_MAX).collect()
     }
 
     pub(super) fn member_views(&self) -> Vec<view::MemberView> {
@@ -62,16 +58,11 @@
         if self.life != Life::Serving {
             return;
         }
-        self.life = Life::Leaving {
-            since_ms: self.now.mono_ms,
-        };
+        self.life = Life::Leaving { since_ms: self.now.mono_ms };
         let effects = self.membership.leave();
         self.apply_membership(effects);
         self.is_membership_changed = true;
-        self.log(
-            action::Level::Info,
-            "graceful shutdown has begun".to_owned(),
-        );
+        self.log(action::Level::Info, "graceful shutdown has begun".to_owned());
     }
 
     /// Whether new requests are refused: only once no caller holds this address any more.
--- a/crates/core/src/host/claims.rs
+++ b/crates/core/src/host/claims.rs
@@ -26,30 +26,15 @@
     ) {
         let number = self.next_claim;
         self.next_claim += 1;
-        let id = entry::ClaimId {
-            host: self.id(),
-            number,
-        };
+        let id = entry::ClaimId { host: self.id(), number };
         let claim = request::Claim { key, id };
         let content = request.head.content;
         let shard = journal::shard_of_claim(key, self.config.ledger_shards);
-        self.journal.submit(
-            shard,
-            entry::Entry::Claim {
-                key,
-                claim: id,
-                content,
-            },
-        );
-        let give_up_ms = request
-            .state
-            .plan
-            .deadline_ms
-            .min(self.now.mono_ms + CLAIM_MS);
+        self.journal.submit(shard, entry::Entry::Claim { key, claim: id, content });
+        let give_up_ms = request.state.plan.deadline_ms.min(self.now.mono_ms + CLAIM_MS);
         let ticket = request.head.ticket;
         self.claims.insert(number, ticket);
-        self.requests
-            .insert(ticket, Live::Claiming(request.claim(claim, give_up_ms)));
+        self.requests.insert(ticket, Live::Claiming(request.claim(claim, give_up_ms)));
         self.flush_journal();
     }
 
@@ -83,9 +68,7 @@
             }
             entry::Verdict::InProgress => {
                 self.release(request.state.claim);
-                let failure = refusal::Failure::InProgress {
-                    retry_after_ms: IN_PROGRESS_RETRY_MS,
-                };
+                let failure = refusal::Failure::InProgress { retry_after_ms: IN_PROGRESS_RETRY_MS };
                 self.act(action::Action::Fail { ticket, failure });
             }
             entry::Verdict::ContentDiffers => {
@@ -127,21 +110,14 @@
     /// Takes a claim back for good; only ever called for a request that was not dispatched.
     pub(super) fn release(&mut self, claim: request::Claim) {
         let shard = journal::shard_of_claim(claim.key, self.config.ledger_shards);
-        let entry = entry::Entry::Release {
-            key: claim.key,
-            claim: claim.id,
-        };
+        let entry = entry::Entry::Release { key: claim.key, claim: claim.id };
         self.journal.submit(shard, entry);
     }
 
     /// Keeps the answer of a claimed request for callers that send it again.
     pub(super) fn settle(&mut self, claim: request::Claim, answer: entry::KeptAnswer) {
         let shard = journal::shard_of_claim(claim.key, self.config.ledger_shards);
-        let entry = entry::Entry::Settle {
-            key: claim.key,
-            claim: claim.id,
-            answer,
-        };
+        let entry = entry::Entry::Settle { key: claim.key, claim: claim.id, answer };
         self.journal.submit(shard, entry);
     }
 }
--- a/crates/core/src/host/coordination.rs
+++ b/crates/core/src/host/coordination.rs
@@ -146,10 +146,7 @@
 
     pub(super) fn spread(&mut self, message: &message::Message) {
         for to in self.membership.sample(replica::FANOUT) {
-            self.act(action::Action::SendPeer {
-                to,
-                message: message.clone(),
-            });
+            self.act(action::Action::SendPeer { to, message: message.clone() });
         }
     }
 
@@ -182,8 +179,7 @@
     }
 
     fn standing(&self) -> freshness::Standing {
-        self.freshness
-            .standing(self.now.mono_ms, self.hosts_heard())
+        self.freshness.standing(self.now.mono_ms, self.hosts_heard())
     }
 
     fn on_gossip(
@@ -205,19 +201,13 @@
         }
         let effects = self.replica.hear_revision(from, position.revision);
         self.apply_replica(effects);
-        let effects = self
-            .registry
-            .hear_position(from, position.status, self.now.mono_ms);
+        let effects = self.registry.hear_position(from, position.status, self.now.mono_ms);
         self.apply_registry(effects);
     }
 
     /// The platform's own word counts from the older of its two replies on.
     fn confirm(&mut self) {
-        let Confirmations {
-            configuration_ms,
-            status_ms,
-            ..
-        } = self.confirmations;
+        let Confirmations { configuration_ms, status_ms, .. } = self.confirmations;
         if let (Some(configuration_ms), Some(status_ms)) = (configuration_ms, status_ms) {
             let heard = self.hosts_heard();
             let asked_ms = configuration_ms.min(status_ms);
@@ -274,10 +264,7 @@
         self.confirmations = Confirmations::default();
         self.freshness.lapse(self.now.mono_ms);
         self.vault.restart_delays(self.now.mono_ms);
-        self.log(
-            action::Level::Warn,
-            format!("this host was paused for {gap_ms} ms"),
-        );
+        self.log(action::Level::Warn, format!("this host was paused for {gap_ms} ms"));
     }
 
     /// The hosts that rank first in each data centre watch; a leaving host no longer does.
@@ -333,10 +320,7 @@
             Ok(document) => {
                 self.catalogue = catalogue::Catalogue::new(document);
                 self.catalogue_revision = revision;
-                self.log(
-                    action::Level::Info,
-                    format!("revision {revision} is in force"),
-                );
+                self.log(action::Level::Info, format!("revision {revision} is in force"));
             }
             Err(findings) => {
                 self.breach(&format!("revision {revision} has findings: {findings}"));
@@ -355,10 +339,7 @@
                     self.spread(&message::Message::Registry(message));
                 }
                 registry::Effect::Call(call) => {
-                    self.act(action::Action::CallPlatform {
-                        id: action::CallId::Status,
-                        call,
-                    });
+                    self.act(action::Action::CallPlatform { id: action::CallId::Status, call });
                 }
                 registry::Effect::Changed(objects) => self.on_status(&objects),
                 registry::Effect::Confirmed { asked_ms } => {
--- a/crates/core/src/host/ledger.rs
+++ b/crates/core/src/host/ledger.rs
@@ -37,6 +37,7 @@
             owner.set_wanted(*wanted == Some(me));
         }
         self.notes.set_backup(self.choose_backup());
+        self.journal.owners_changed();
     }
 
     pub(super) fn tick_ledger(&mut self) {
@@ -224,12 +225,7 @@
             let info = &record.info;
             let is_staying = !record.leaving;
             let is_apart = info.data_centre != me.data_centre;
-            (
-                is_staying,
-                is_apart,
-                info.region == me.region,
-                rendezvous::weight(me.id.0, info.id),
-            )
+            (is_staying, is_apart, info.region == me.region, rendezvous::weight(me.id.0, info.id))
         };
         self.membership
             .members()
--- a/crates/core/src/host/mod.rs
+++ b/crates/core/src/host/mod.rs
@@ -175,29 +175,17 @@
         self.apply_membership(effects);
         match event {
             event::Event::Request(head) => self.on_request(head),
-            event::Event::AttemptEnded {
-                ticket,
-                attempt,
-                end,
-            } => {
+            event::Event::AttemptEnded { ticket, attempt, end } => {
                 self.on_attempt_ended(ticket, attempt, end);
             }
-            event::Event::Rated {
-                ticket,
-                attempt,
-                score_percent,
-            } => {
+            event::Event::Rated { ticket, attempt, score_percent } => {
                 self.on_rated(ticket, attempt, score_percent);
             }
             event::Event::CallerLeft { ticket } => self.on_caller_left(ticket),
             event::Event::LoadReported { server, running } => {
                 self.balancer.report(server, running, now.mono_ms);
             }
-            event::Event::Peer {
-                from,
-                sender,
-                message,
-            } => self.on_peer(from, sender, message),
+            event::Event::Peer { from, sender, message } => self.on_peer(from, sender, message),
             event::Event::Platform { call, reply } => self.on_platform(call, reply),
             event::Event::Tick => self.on_tick(),
             event::Event::Stop => self.on_stop(),
--- a/crates/core/src/host/routing.rs
+++ b/crates/core/src/host/routing.rs
@@ -46,12 +46,7 @@
         let found = self.catalogue.organisation(&head.key_sha256);
         let (organisation_name, organisation) = found.ok_or(refusal::Reason::Unauthorised)?;
         let organisation_name = organisation_name.clone();
-        let mut work = resolve(
-            self.catalogue.document(),
-            &organisation_name,
-            organisation,
-            head,
-        )?;
+        let mut work = resolve(self.catalogue.document(), &organisation_name, organisation, head)?;
         let pinned = self.session_of(head, &organisation_name)?;
         let deadline_ms = self.now.mono_ms.saturating_add(head.deadline_ms);
         self.choose_start(&mut work, head.deadline_ms);
@@ -75,12 +70,8 @@
         plan: &mut request::Plan,
     ) -> Result<Route, refusal::Reason> {
         let need = self.need(plan)?;
-        let pool = self
-            .catalogue
-            .document()
-            .pools
-            .get(&need.pool)
-            .ok_or(refusal::Reason::NoServer)?;
+        let pool =
+            self.catalogue.document().pools.get(&need.pool).ok_or(refusal::Reason::NoServer)?;
         let (progress_ms, slots) = (pool.progress_ms, pool.server_slots);
         self.check_poison(head.content)?;
         let wanted = balance::Wanted {
@@ -90,9 +81,7 @@
             slots,
             excluded: &plan.excluded,
         };
-        let choice = self
-            .balancer
-            .choose(wanted, self.now.mono_ms, &mut self.rng);
+        let choice = self.balancer.choose(wanted, self.now.mono_ms, &mut self.rng);
         let server = match choice {
             balance::Choice::Server(server) => server,
             balance::Choice::Full => {
@@ -106,13 +95,7 @@
         };
         let session_token = plan.has_session.then(|| self.token(plan));
         let is_held = is_held(&plan.work);
-        Ok(Route {
-            server,
-            item: need.item,
-            progress_ms,
-            is_held,
-            session_token,
-        })
+        Ok(Route { server, item: need.item, progress_ms, is_held, session_token })
     }
 
     /// Notes how long an answer of a model took.
@@ -124,10 +107,7 @@
     fn need(&self, plan: &mut request::Plan) -> Result<Need, refusal::Reason> {
         match &plan.work {
             request::Work::Model { stages, stage, .. } => {
-                let model = stages
-                    .get(*stage)
-                    .ok_or(refusal::Reason::NotAllowed)?
-                    .clone();
+                let model = stages.get(*stage).ok_or(refusal::Reason::NotAllowed)?.clone();
                 self.need_of_model(plan, &model)
             }
             request::Work::Service { name, .. } => self.need_of_service(plan, name),
@@ -140,14 +120,9 @@
         model: &name::Name,
     ) -> Result<Need, refusal::Reason> {
         let document = self.catalogue.document();
-        let entry = document
-            .models
-            .get(model)
-            .ok_or(refusal::Reason::NotAllowed)?;
-        let organisation = document
-            .organisations
-            .get(&plan.organisation)
-            .ok_or(refusal::Reason::Unauthorised)?;
+        let entry = document.models.get(model).ok_or(refusal::Reason::NotAllowed)?;
+        let organisation =
+            document.organisations.get(&plan.organisation).ok_or(refusal::Reason::Unauthorised)?;
         let pinned = plan.pins.get(model);
         let version = pinned
             .or_else(|| share::pick(model, entry, organisation, plan.session_hash))
@@ -165,11 +140,7 @@
         }
         let item = Arc::from(format!("{model}@{version}"));
         plan.pins.insert(model.clone(), version);
-        Ok(Need {
-            pool: entry.pool.clone(),
-            item,
-            needs_loaded: true,
-        })
+        Ok(Need { pool: entry.pool.clone(), item, needs_loaded: true })
     }
 
     fn need_of_service(
@@ -185,11 +156,7 @@
         let service = document.services.get(name).filter(|_| is_allowed);
         let service = service.ok_or(refusal::Reason::NotAllowed)?;
         let item = Arc::from(name.as_str());
-        Ok(Need {
-            pool: service.pool.clone(),
-            item,
-            needs_loaded: false,
-        })
+        Ok(Need { pool: service.pool.clone(), item, needs_loaded: false })
     }
 
     fn check_poison(&mut self, content: u64) -> Result<(), refusal::Reason> {
@@ -229,22 +196,12 @@
             event::Session::None => self.rng.random(),
         };
         let pins = collections::BTreeMap::new();
-        Ok(session::Token {
-            organisation: organisation.clone(),
-            session_hash,
-            pins,
-        })
+        Ok(session::Token { organisation: organisation.clone(), session_hash, pins })
     }
 
     /// Chooses the stage to start at; without ratings only the strongest meets the target.
     fn choose_start(&mut self, work: &mut request::Work, left_ms: u64) {
-        let request::Work::Model {
-            stages,
-            stage,
-            kind: Some(kind),
-            ..
-        } = work
-        else {
+        let request::Work::Model { stages, stage, kind: Some(kind), .. } = work else {
             return;
         };
         if !self.config.has_rating {
@@ -259,11 +216,7 @@
                     .models
                     .get(model)
                     .map_or(0, |entry| entry.cost_microcents_per_kilotoken),
-                answer_ms: self
-                    .answer_ms
-                    .get(model)
-                    .copied()
-                    .unwrap_or(ANSWER_DEFAULT_MS),
+                answer_ms: self.answer_ms.get(model).copied().unwrap_or(ANSWER_DEFAULT_MS),
             })
             .collect();
         *stage = self.cascades.start(kind, &infos, left_ms);
@@ -273,12 +226,9 @@
 /// Whether an answer is held to be rated: only the last stage streams.
 fn is_held(work: &request::Work) -> bool {
     match work {
-        request::Work::Model {
-            stages,
-            stage,
-            kind,
-            ..
-        } => kind.is_some() && stage + 1 < stages.len(),
+        request::Work::Model { stages, stage, kind, .. } => {
+            kind.is_some() && stage + 1 < stages.len()
+        }
         request::Work::Service { .. } => false,
     }
 }
@@ -314,14 +264,8 @@
             kind: None,
         });
     }
-    let name = organisation
-        .cascades
-        .get(target)
-        .ok_or(refusal::Reason::NotAllowed)?;
-    let cascade = document
-        .cascades
-        .get(name)
-        .ok_or(refusal::Reason::NotAllowed)?;
+    let name = organisation.cascades.get(target).ok_or(refusal::Reason::NotAllowed)?;
+    let cascade = document.cascades.get(name).ok_or(refusal::Reason::NotAllowed)?;
     let stages = cascade::usable_stages(document, organisation, cascade);
     if stages.is_empty() {
         return Err(refusal::Reason::NotAllowed);
@@ -344,19 +288,10 @@
     target: &str,
     call: &str,
 ) -> Result<request::Work, refusal::Reason> {
-    let name = organisation
-        .services
-        .get(target)
-        .ok_or(refusal::Reason::NotAllowed)?;
-    let service = document
-        .services
-        .get(name)
-        .ok_or(refusal::Reason::NotAllowed)?;
+    let name = organisation.services.get(target).ok_or(refusal::Reason::NotAllowed)?;
+    let service = document.services.get(name).ok_or(refusal::Reason::NotAllowed)?;
     let is_idempotent = !service.is_non_idempotent(call);
-    Ok(request::Work::Service {
-        name: name.clone(),
-        is_idempotent,
-    })
+    Ok(request::Work::Service { name: name.clone(), is_idempotent })
 }
 
 fn named_session_hash(organisation: &name::Name, session: &str) -> u64 {
--- a/crates/core/src/host/traffic.rs
+++ b/crates/core/src/host/traffic.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use toucanwall_coordination::ledger::entry;
+use toucanwall_policy::balance;
 use toucanwall_policy::limit;
 
 use crate::action;
@@ -24,15 +25,22 @@
 /// When to come back after a failure, in milliseconds.
 const FAILED_RETRY_MS: u64 = 1_000;
 
+/// What a further attempt costs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cost {
+    /// Nothing: no server has run the attempt before.
+    Free,
+    /// One retry of the budget.
+    Budget,
+}
+
 impl Host {
     pub(super) fn on_request(&mut self, head: Arc<event::Head>) {
         self.counters.add(counter::Counter::Received);
         let request = request::Request::receive(head);
-        let reason = self.unready_reason().or_else(|| {
-            self.journal
-                .is_full()
-                .then_some(refusal::Reason::BacklogFull)
-        });
+        let reason = self
+            .unready_reason()
+            .or_else(|| self.journal.is_full().then_some(refusal::Reason::BacklogFull));
         if let Some(reason) = reason {
             self.refuse(request, reason);
             return;
@@ -53,20 +61,12 @@
         let Some(request) = self.take_running(ticket, attempt) else {
             return;
         };
-        self.balancer.end(
-            request.state.server,
-            is_servers_fault(&end),
-            self.now.mono_ms,
-        );
+        self.balancer.end(request.state.server, outcome_of(&end), self.now.mono_ms);
         match end {
             event::AttemptEnd::Answered { tokens, answer } => {
                 self.on_answered(request, tokens, answer);
             }
-            event::AttemptEnd::Failed {
-                fault,
-                delivered_events,
-                is_resumable,
-            } => {
+            event::AttemptEnd::Failed { fault, delivered_events, is_resumable } => {
                 self.on_failed(request, fault, delivered_events, is_resumable);
             }
         }
@@ -81,12 +81,8 @@
         let Some(request) = self.take_running(ticket, attempt) else {
             return;
         };
-        let request::Work::Model {
-            stage,
-            quality_target_percent,
-            kind,
-            ..
-        } = &request.state.plan.work
+        let request::Work::Model { stage, quality_target_percent, kind, .. } =
+            &request.state.plan.work
         else {
             return;
         };
@@ -188,9 +184,8 @@
         if let Some(retry_after_ms) = self.over_limit(&plan) {
             let ticket = request.head.ticket;
             self.counters.refuse(refusal::Reason::OverLimit.code());
-            let refusal = request
-                .refuse(refusal::Reason::OverLimit)
-                .coming_back_after(retry_after_ms);
+            let refusal =
+                request.refuse(refusal::Reason::OverLimit).coming_back_after(retry_after_ms);
             self.act(action::Action::Refuse { ticket, refusal });
             return;
         }
@@ -212,16 +207,10 @@
 
     fn over_limit(&mut self, plan: &request::Plan) -> Option<u64> {
         let document = self.catalogue.document();
-        let requests_per_s = document
-            .organisations
-            .get(&plan.organisation)?
-            .requests_per_s;
+        let requests_per_s = document.organisations.get(&plan.organisation)?.requests_per_s;
         let hosts = u64::try_from(self.membership.eligible().count()).unwrap_or(1);
         let now_ms = self.now.mono_ms;
-        match self
-            .limits
-            .take(&plan.organisation, requests_per_s, hosts, now_ms)
-        {
+        match self.limits.take(&plan.organisation, requests_per_s, hosts, now_ms) {
             limit::Verdict::Admit => None,
             limit::Verdict::Refuse { retry_after_ms } => Some(retry_after_ms),
         }
@@ -279,19 +268,14 @@
             self.notes.open(state.number, Arc::clone(&organisation));
         }
         let mode = if state.is_held {
-            action::Mode::Hold {
-                max_bytes: HELD_MAX_BYTES,
-            }
+            action::Mode::Hold { max_bytes: HELD_MAX_BYTES }
         } else {
             action::Mode::Stream
         };
         let dispatch = action::Dispatch {
             ticket: request.head.ticket,
             attempt: state.attempt,
-            bill: entry::BillId {
-                host: self.id(),
-                number: state.number,
-            },
+            bill: entry::BillId { host: self.id(), number: state.number },
             server: state.server,
             item: route.item,
             organisation,
@@ -302,8 +286,7 @@
             revision: self.catalogue_revision,
         };
         self.act(action::Action::Dispatch(dispatch));
-        self.requests
-            .insert(request.head.ticket, Live::Running(request));
+        self.requests.insert(request.head.ticket, Live::Running(request));
     }
 
     fn take_running(
@@ -363,8 +346,7 @@
     fn escalate(&mut self, mut request: request::Request<request::Dispatched>) {
         self.counters.add(counter::Counter::Escalated);
         let cost = self.cost_microcents(&request, request.state.held_tokens);
-        self.counters
-            .add_many(counter::Counter::EscalatedMicrocents, cost);
+        self.counters.add_many(counter::Counter::EscalatedMicrocents, cost);
         if let request::Work::Model { stage, .. } = &mut request.state.plan.work {
             *stage += 1;
         }
@@ -381,16 +363,19 @@
         self.counters.add(counter::Counter::AttemptsFailed);
         let server = request.state.server;
         match fault {
-            event::Fault::Broken => self.implicate(request.head.content, server),
+            event::Fault::Crashed => self.implicate(request.head.content, server),
             _ => self.poison.end(request.head.content),
         }
         request.state.plan.excluded.insert(server);
         request.state.plan.delivered_events = delivered_events;
         match fault {
             event::Fault::NotSent => self.send_elsewhere(request),
+            event::Fault::Declined if request.state.claim.is_none() => {
+                self.retry(request, Cost::Free);
+            }
             event::Fault::TooLong => self.escalate(request),
             _ if request.state.claim.is_some() || !is_resumable => self.give_up(&request),
-            _ => self.retry(request),
+            _ => self.retry(request, Cost::Budget),
         }
     }
 
@@ -403,7 +388,7 @@
         }
         let number = request.state.number;
         if request.state.plan.attempts >= ATTEMPTS_MAX || request.state.claim.is_none() {
-            self.retry(request);
+            self.retry(request, Cost::Free);
             return;
         }
         // The next dispatch opens a number of its own; this one was never run.
@@ -414,10 +399,11 @@
         }
     }
 
-    fn retry(&mut self, request: request::Request<request::Dispatched>) {
+    fn retry(&mut self, request: request::Request<request::Dispatched>, cost: Cost) {
         let has_attempts = request.state.plan.attempts < ATTEMPTS_MAX;
         let has_time = self.now.mono_ms < request.state.plan.deadline_ms;
-        if request.state.is_abandoned || !has_attempts || !has_time || !self.retries.spend() {
+        let may_retry = !request.state.is_abandoned && has_attempts && has_time;
+        if !may_retry || (cost == Cost::Budget && !self.retries.spend()) {
             self.give_up(&request);
             return;
         }
@@ -440,10 +426,7 @@
         let route = match self.route(&head, &mut request.state.plan) {
             Ok(route) => route,
             Err(reason) => {
-                self.log(
-                    action::Level::Info,
-                    format!("no further attempt: {}", reason.code()),
-                );
+                self.log(action::Level::Info, format!("no further attempt: {}", reason.code()));
                 self.give_up(&request);
                 return;
             }
@@ -472,25 +455,21 @@
             refusal::Failure::OutcomeUnknown => counter::Counter::OutcomeUnknown,
             _ => counter::Counter::Failed,
         });
-        self.act(action::Action::Fail {
-            ticket: request.head.ticket,
-            failure,
-        });
+        self.act(action::Action::Fail { ticket: request.head.ticket, failure });
     }
 
     /// Ends a request that nobody waits for; one that may not be repeated runs to its end.
     fn abandon(&mut self, mut request: request::Request<request::Dispatched>) {
         if request.state.claim.is_some() {
             request.state.is_abandoned = true;
-            self.requests
-                .insert(request.head.ticket, Live::Running(request));
+            self.requests.insert(request.head.ticket, Live::Running(request));
             return;
         }
         if !request.state.is_attempt_over {
             let (ticket, attempt) = (request.head.ticket, request.state.attempt);
             self.act(action::Action::Cancel { ticket, attempt });
-            self.balancer
-                .end(request.state.server, false, self.now.mono_ms);
+            let outcome = balance::Outcome::Fine;
+            self.balancer.end(request.state.server, outcome, self.now.mono_ms);
         }
         self.poison.end(request.head.content);
         self.bill(&request, 0, entry::Ending::Failed);
@@ -503,10 +482,7 @@
         ending: entry::Ending,
     ) {
         let bill = entry::Bill {
-            id: entry::BillId {
-                host: self.id(),
-                number: request.state.number,
-            },
+            id: entry::BillId { host: self.id(), number: request.state.number },
             organisation: Arc::from(request.state.plan.organisation.as_str()),
             item: Arc::clone(&request.state.item),
             tokens,
@@ -526,23 +502,24 @@
             request::Work::Model { stages, stage, .. } => stages
                 .get(*stage)
                 .and_then(|model| document.models.get(model))
-                .map_or(0, |model| {
-                    (model.cost_microcents_per_kilotoken * tokens).div_ceil(1_000)
-                }),
-            request::Work::Service { name, .. } => document
-                .services
-                .get(name)
-                .map_or(0, |service| service.cost_microcents_per_call),
+                .map_or(0, |model| (model.cost_microcents_per_kilotoken * tokens).div_ceil(1_000)),
+            request::Work::Service { name, .. } => {
+                document.services.get(name).map_or(0, |service| service.cost_microcents_per_call)
+            }
         }
     }
 }
 
-/// Whether a failed attempt speaks against its server.
-fn is_servers_fault(end: &event::AttemptEnd) -> bool {
-    match end {
-        event::AttemptEnd::Answered { .. } => false,
-        event::AttemptEnd::Failed { fault, .. } => {
-            !matches!(fault, event::Fault::TooLong | event::Fault::Declined)
+/// What the end of an attempt says about its server.
+fn outcome_of(end: &event::AttemptEnd) -> balance::Outcome {
+    let event::AttemptEnd::Failed { fault, .. } = end else {
+        return balance::Outcome::Fine;
+    };
+    match fault {
+        event::Fault::TooLong | event::Fault::Declined => balance::Outcome::Fine,
+        event::Fault::NotSent | event::Fault::Crashed => balance::Outcome::Unreachable,
+        event::Fault::Cut | event::Fault::Silent | event::Fault::ErrorStatus => {
+            balance::Outcome::Failed
         }
     }
 }
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -128,10 +128,7 @@
     where
         S: request::NeverDispatched,
     {
-        Self {
-            reason,
-            retry_after_ms: reason.retry_after_ms(),
-        }
+        Self { reason, retry_after_ms: reason.retry_after_ms() }
     }
 
     pub(crate) fn coming_back_after(mut self, retry_after_ms: u64) -> Self {
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -167,13 +167,7 @@
     /// Whether the request may run more than once.
     #[must_use]
     pub fn is_idempotent(&self) -> bool {
-        !matches!(
-            self.work,
-            Work::Service {
-                is_idempotent: false,
-                ..
-            }
-        )
+        !matches!(self.work, Work::Service { is_idempotent: false, .. })
     }
 }
 
@@ -192,19 +186,13 @@
     /// Takes a request in.
     #[must_use]
     pub fn receive(head: Arc<event::Head>) -> Self {
-        Self {
-            head,
-            state: Received,
-        }
+        Self { head, state: Received }
     }
 
     /// Admits it with a plan.
     #[must_use]
     pub fn admit(self, plan: Plan) -> Request<Admitted> {
-        Request {
-            head: self.head,
-            state: Admitted { plan },
-        }
+        Request { head: self.head, state: Admitted { plan } }
     }
 }
 
@@ -212,24 +200,14 @@
     /// Starts to claim its key.
     #[must_use]
     pub fn claim(self, claim: Claim, give_up_ms: u64) -> Request<Claiming> {
-        let state = Claiming {
-            plan: self.state.plan,
-            claim,
-            give_up_ms,
-        };
-        Request {
-            head: self.head,
-            state,
-        }
+        let state = Claiming { plan: self.state.plan, claim, give_up_ms };
+        Request { head: self.head, state }
     }
 
     /// Dispatches a request that may be repeated.
     #[must_use]
     pub fn dispatch(self, sent: Sent) -> Request<Dispatched> {
-        Request {
-            head: self.head,
-            state: sent.into_state(self.state.plan, None),
-        }
+        Request { head: self.head, state: sent.into_state(self.state.plan, None) }
     }
 }
 
@@ -237,14 +215,8 @@
     /// Notes that the claim is durable.
     #[must_use]
     pub fn hold(self) -> Request<Claimed> {
-        let state = Claimed {
-            plan: self.state.plan,
-            claim: self.state.claim,
-        };
-        Request {
-            head: self.head,
-            state,
-        }
+        let state = Claimed { plan: self.state.plan, claim: self.state.claim };
+        Request { head: self.head, state }
     }
 }
 
@@ -253,10 +225,7 @@
     #[must_use]
     pub fn dispatch(self, sent: Sent) -> Request<Dispatched> {
         let state = sent.into_state(self.state.plan, Some(self.state.claim));
-        Request {
-            head: self.head,
-            state,
-        }
+        Request { head: self.head, state }
     }
 }
 
@@ -271,19 +240,11 @@
         if self.state.claim.is_some() {
             return Err(Box::new(self));
         }
-        let Dispatched {
-            plan,
-            number,
-            is_abandoned,
-            ..
-        } = self.state;
+        let Dispatched { plan, number, is_abandoned, .. } = self.state;
         let mut state = sent.into_state(plan, None);
         state.number = number;
         state.is_abandoned = is_abandoned;
-        Ok(Self {
-            head: self.head,
-            state,
-        })
+        Ok(Self { head: self.head, state })
     }
 
     /// Goes back to before the dispatch: no connection came about, so no byte was sent.
@@ -291,29 +252,18 @@
     pub fn unsent(self) -> Unsent {
         let Dispatched { plan, claim, .. } = self.state;
         match claim {
-            Some(claim) => Unsent::Claimed(Request {
-                head: self.head,
-                state: Claimed { plan, claim },
-            }),
-            None => Unsent::Admitted(Request {
-                head: self.head,
-                state: Admitted { plan },
-            }),
+            Some(claim) => {
+                Unsent::Claimed(Request { head: self.head, state: Claimed { plan, claim } })
+            }
+            None => Unsent::Admitted(Request { head: self.head, state: Admitted { plan } }),
         }
     }
 
     /// Notes that the whole answer is in.
     #[must_use]
     pub fn answer(self, give_up_ms: u64) -> Request<Answered> {
-        let state = Answered {
-            number: self.state.number,
-            attempt: self.state.attempt,
-            give_up_ms,
-        };
-        Request {
-            head: self.head,
-            state,
-        }
+        let state = Answered { number: self.state.number, attempt: self.state.attempt, give_up_ms };
+        Request { head: self.head, state }
     }
 
     /// What the caller is told if there will be no whole answer.
--- a/crates/core/src/session.rs
+++ b/crates/core/src/session.rs
@@ -45,9 +45,7 @@
     /// [`TokenError`] if it is not a token or no known key signed it.
     pub fn open(keys: &envelope::Keys, text: &str) -> Result<Self, TokenError> {
         let signed = ENGINE.decode(text).map_err(|_ignored| TokenError)?;
-        let bytes = keys
-            .verify(CONTEXT, &signed)
-            .map_err(|_ignored| TokenError)?;
+        let bytes = keys.verify(CONTEXT, &signed).map_err(|_ignored| TokenError)?;
         postcard::from_bytes(bytes).map_err(|_ignored| TokenError)
     }
 }
--- a/crates/core/tests/randomised.rs
+++ b/crates/core/tests/randomised.rs
@@ -20,14 +20,7 @@
 #[case::lossy(100..130, 5)]
 #[case::hard(200..230, 20)]
 fn what_must_hold_holds(#[case] seeds: std::ops::Range<u64>, #[case] loss_percent: u32) {
-    let hardness = world::Hardness {
-        busy_ms: 40_000,
-        heal_ms: 60_000,
-        loss_percent,
-    };
+    let hardness = world::Hardness { busy_ms: 40_000, heal_ms: 60_000, loss_percent };
     let report = run_seeds(seeds, hardness);
-    assert!(
-        report.answered > 0 && report.effects > 0,
-        "the runs did nothing: {report:?}"
-    );
+    assert!(report.answered > 0 && report.effects > 0, "the runs did nothing: {report:?}");
 }
--- a/crates/core/tests/world/backends.rs
+++ b/crates/core/tests/world/backends.rs
@@ -46,29 +46,18 @@
             self.note_session(dispatch.ticket, &dispatch.item, token);
         }
         let at_ms = self.now_ms + self.rng.random_range(5..400);
-        self.push(
-            at_ms,
-            Happening::BackendEnds {
-                slot,
-                run,
-                dispatch,
-            },
-        );
+        self.push(at_ms, Happening::BackendEnds { slot, run, dispatch });
     }
 
     /// A server runs what it was sent, whatever became of the host meanwhile.
     pub(super) fn backend_ends(&mut self, slot: usize, run: u64, dispatch: &action::Dispatch) {
-        let lot = if self.is_healing {
-            99
-        } else {
-            self.rng.random_range(0..100)
-        };
+        let lot = if self.is_healing { 99 } else { self.rng.random_range(0..100) };
         let end = match lot {
             0..=4 => failed(event::Fault::NotSent),
             5..=7 => failed(event::Fault::ErrorStatus),
             8..=9 => {
                 self.run_request(dispatch);
-                failed(event::Fault::Broken)
+                failed(event::Fault::Crashed)
             }
             10..=13 => {
                 self.run_request(dispatch);
@@ -80,11 +69,7 @@
             }
         };
         let (ticket, attempt) = (dispatch.ticket, dispatch.attempt);
-        let event = event::Event::AttemptEnded {
-            ticket,
-            attempt,
-            end,
-        };
+        let event = event::Event::AttemptEnded { ticket, attempt, end };
         self.deliver(slot, Some(run), event);
     }
 
@@ -112,10 +97,7 @@
     }
 
     fn check_dispatch(&mut self, slot: usize, dispatch: &action::Dispatch) {
-        self.trace_line(
-            slot,
-            &format!("dispatches {} to {}", dispatch.item, dispatch.server),
-        );
+        self.trace_line(slot, &format!("dispatches {} to {}", dispatch.item, dispatch.server));
         let withdrawn_ms = self.withdrawn_since.get(&dispatch.item).copied();
         if let Some(late_ms) = self.late_ms(withdrawn_ms, WITHDRAWN_BOUND_MS) {
             self.violate(Violation::WithdrawnVersionDispatched { late_ms });
@@ -134,11 +116,7 @@
 }
 
 fn failed(fault: event::Fault) -> event::AttemptEnd {
-    event::AttemptEnd::Failed {
-        fault,
-        delivered_events: 0,
-        is_resumable: true,
-    }
+    event::AttemptEnd::Failed { fault, delivered_events: 0, is_resumable: true }
 }
 
 fn answered() -> event::AttemptEnd {
--- a/crates/core/tests/world/callers.rs
+++ b/crates/core/tests/world/callers.rs
@@ -123,10 +123,7 @@
         if refusal.reason() == refusal::Reason::SessionWithdrawn
             && let Some(session) = self.callers.session_of(ticket)
         {
-            *session = Session {
-                token: None,
-                item: None,
-            };
+            *session = Session { token: None, item: None };
         }
         self.resend_later(ticket);
     }
@@ -187,18 +184,13 @@
 
     fn draw_session(&mut self) -> usize {
         if self.callers.sessions.len() < 8 {
-            self.callers.sessions.push(Session {
-                token: None,
-                item: None,
-            });
+            self.callers.sessions.push(Session { token: None, item: None });
         }
         self.rng.random_range(0..self.callers.sessions.len())
     }
 
     fn send(&mut self, request: usize) {
-        let alive: Vec<usize> = (0..SLOTS)
-            .filter(|s| self.slots[*s].host.is_some())
-            .collect();
+        let alive: Vec<usize> = (0..SLOTS).filter(|s| self.slots[*s].host.is_some()).collect();
         let Some(slot) = alive.choose(&mut self.rng).copied() else {
             return;
         };
@@ -232,26 +224,11 @@
             resume_from: 0,
         };
         let got = Got::Nothing;
-        let send = Send {
-            slot,
-            run,
-            request,
-            got,
-            is_delivered: false,
-            bill: None,
-            expected,
-        };
+        let send = Send { slot, run, request, got, is_delivered: false, bill: None, expected };
         self.callers.sends.insert(ticket, send);
         let event = event::Event::Request(Arc::new(head));
         let at_ms = self.now_ms + self.rng.random_range(0..5);
-        self.push(
-            at_ms,
-            Happening::Deliver {
-                slot,
-                run: Some(run),
-                event,
-            },
-        );
+        self.push(at_ms, Happening::Deliver { slot, run: Some(run), event });
     }
 
     fn end_send(&mut self, ticket: event::Ticket, got: Got) {
@@ -259,10 +236,7 @@
             return;
         };
         if send.got != Got::Nothing {
-            let violation = Violation::TwoFinalAnswers {
-                first: send.got,
-                second: got,
-            };
+            let violation = Violation::TwoFinalAnswers { first: send.got, second: got };
             self.violate(violation);
             return;
         }
--- a/crates/core/tests/world/check.rs
+++ b/crates/core/tests/world/check.rs
@@ -15,46 +15,20 @@
 /// Something that must hold and did not.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Violation {
-    WithdrawnVersionDispatched {
-        late_ms: u64,
-    },
-    LeavingServerDispatched {
-        late_ms: u64,
-    },
+    WithdrawnVersionDispatched { late_ms: u64 },
+    LeavingServerDispatched { late_ms: u64 },
     SessionChangedVersion,
-    TwoFinalAnswers {
-        first: callers::Got,
-        second: callers::Got,
-    },
-    RevisionReverted {
-        from: u64,
-        to: u64,
-    },
+    TwoFinalAnswers { first: callers::Got, second: callers::Got },
+    RevisionReverted { from: u64, to: u64 },
     InvariantBreach,
-    StoppedWithOpenRequests {
-        open: usize,
-    },
-    EffectRepeated {
-        key: String,
-        times: u64,
-    },
+    StoppedWithOpenRequests { open: usize },
+    EffectRepeated { key: String, times: u64 },
     NotRunButRan,
     AnsweredButNoEffect,
-    NotInForceEverywhere {
-        revision: u64,
-        host: u64,
-    },
-    NoFinalAnswer {
-        sends: usize,
-    },
-    Unbilled {
-        got: callers::Got,
-        id: entry::BillId,
-    },
-    TotalsDiffer {
-        naive: u64,
-        state: u64,
-    },
+    NotInForceEverywhere { revision: u64, host: u64 },
+    NoFinalAnswer { sends: usize },
+    Unbilled { got: callers::Got, id: entry::BillId },
+    TotalsDiffer { naive: u64, state: u64 },
 }
 
 impl World {
@@ -72,10 +46,7 @@
         let has_breach = host.counters().get(counter::Counter::InvariantBreaches) > 0;
         self.slots[slot].revision = revision;
         if revision < known {
-            self.violate(Violation::RevisionReverted {
-                from: known,
-                to: revision,
-            });
+            self.violate(Violation::RevisionReverted { from: known, to: revision });
         }
         if has_breach {
             self.violate(Violation::InvariantBreach);
@@ -119,21 +90,13 @@
             .effects
             .iter()
             .filter(|(_, times)| **times > 1)
-            .map(|(key, times)| Violation::EffectRepeated {
-                key: key.to_string(),
-                times: *times,
-            })
+            .map(|(key, times)| Violation::EffectRepeated { key: key.to_string(), times: *times })
             .collect();
         self.violations.extend(repeated);
     }
 
     fn check_refusals(&mut self) {
-        let sends: Vec<_> = self
-            .callers
-            .sends
-            .iter()
-            .map(|(t, s)| (*t, s.got))
-            .collect();
+        let sends: Vec<_> = self.callers.sends.iter().map(|(t, s)| (*t, s.got)).collect();
         for (ticket, got) in sends {
             let has_run = self.backends.runs.contains_key(&ticket);
             match got {
@@ -147,10 +110,7 @@
     fn check_in_force(&mut self) {
         let revision = self.value_in_force().revision;
         for slot in 0..SLOTS {
-            let known = self.slots[slot]
-                .host
-                .as_ref()
-                .map(toucanwall_core::Host::revision);
+            let known = self.slots[slot].host.as_ref().map(toucanwall_core::Host::revision);
             if let Some(host) = known.filter(|known| *known != revision) {
                 self.violate(Violation::NotInForceEverywhere { revision, host });
             }
@@ -158,12 +118,7 @@
     }
 
     fn check_final_answers(&mut self) {
-        let sends = self
-            .callers
-            .sends
-            .values()
-            .filter(|s| s.got == callers::Got::Nothing)
-            .count();
+        let sends = self.callers.sends.values().filter(|s| s.got == callers::Got::Nothing).count();
         if sends > 0 {
             self.violate(Violation::NoFinalAnswer { sends });
         }
@@ -189,11 +144,7 @@
                     }
                 }
             }
-            state_cost += state
-                .totals()
-                .values()
-                .map(|t| t.cost_microcents)
-                .sum::<u64>();
+            state_cost += state.totals().values().map(|t| t.cost_microcents).sum::<u64>();
         }
         if naive_cost != state_cost {
             let (naive, state) = (naive_cost, state_cost);
--- a/crates/core/tests/world/document.rs
+++ b/crates/core/tests/world/document.rs
@@ -29,10 +29,7 @@
 pub fn store_first(fake: &mut FakePlatform) {
     let next = parts_with([34, 33, 33], [false; 3]);
     let change = change_from(&replica::Snapshot::default(), &next, 0, 0);
-    fake.put(
-        &replica::log_key(1),
-        serde_json::to_vec(&change).expect("JSON").into(),
-    );
+    fake.put(&replica::log_key(1), serde_json::to_vec(&change).expect("JSON").into());
 }
 
 impl World {
@@ -59,9 +56,7 @@
         }
         let key = replica::log_key(change.revision);
         let value = serde_json::to_vec(change).expect("JSON").into();
-        let reply = self
-            .platform
-            .execute(&platform::Call::Create { key, value });
+        let reply = self.platform.execute(&platform::Call::Create { key, value });
         if !matches!(reply, platform::Reply::Written { .. }) {
             return;
         }
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -230,21 +230,13 @@
         match happening {
             Happening::Tick { slot, run } => self.tick(slot, run),
             Happening::Deliver { slot, run, event } => self.deliver(slot, run, event),
-            Happening::PlatformExecutes {
-                slot,
-                run,
-                id,
-                call,
-                until_ms,
-            } => {
+            Happening::PlatformExecutes { slot, run, id, call, until_ms } => {
                 self.platform_executes(slot, run, id, call, until_ms);
             }
             Happening::PlatformAppliesLate { call } => drop(self.platform.execute(&call)),
-            Happening::BackendEnds {
-                slot,
-                run,
-                dispatch,
-            } => self.backend_ends(slot, run, &dispatch),
+            Happening::BackendEnds { slot, run, dispatch } => {
+                self.backend_ends(slot, run, &dispatch)
+            }
             Happening::CallerSends => self.caller_sends(),
             Happening::CallerResends { request } => self.caller_resends(request),
             Happening::OperatorChanges => self.operator_changes(),
@@ -296,21 +288,13 @@
             seed: self.rng.random(),
         };
         let host = Host::new(config, self.host_now());
-        self.slots[slot] = Slot {
-            host: Some(host),
-            run,
-            paused_until_ms: 0,
-            revision: 0,
-            is_stopping: false,
-        };
+        self.slots[slot] =
+            Slot { host: Some(host), run, paused_until_ms: 0, revision: 0, is_stopping: false };
         self.push(self.now_ms, Happening::Tick { slot, run });
     }
 
     fn host_now(&self) -> host::Now {
-        host::Now {
-            mono_ms: self.now_ms,
-            wall_s: WALL_START_S + self.now_ms / 1_000,
-        }
+        host::Now { mono_ms: self.now_ms, wall_s: WALL_START_S + self.now_ms / 1_000 }
     }
 
     fn tick(&mut self, slot: usize, run: u64) {
@@ -361,20 +345,9 @@
             action::Action::Dispatch(dispatch) => self.dispatch(slot, run, dispatch),
             action::Action::Rate { ticket, attempt } => {
                 let score_percent = Some(if self.chance(70) { 90 } else { 10 });
-                let event = event::Event::Rated {
-                    ticket,
-                    attempt,
-                    score_percent,
-                };
+                let event = event::Event::Rated { ticket, attempt, score_percent };
                 let at_ms = self.now_ms + 20;
-                self.push(
-                    at_ms,
-                    Happening::Deliver {
-                        slot,
-                        run: Some(run),
-                        event,
-                    },
-                );
+                self.push(at_ms, Happening::Deliver { slot, run: Some(run), event });
             }
             action::Action::Finish { ticket, .. } => self.caller_answered(ticket),
             action::Action::Replay { ticket, .. } => self.caller_replayed(ticket),
@@ -401,33 +374,18 @@
         let Some(host) = self.slots[from].host.as_ref() else {
             return;
         };
-        let event = event::Event::Peer {
-            from: peer_address(from),
-            sender: host.id(),
-            message,
-        };
+        let event = event::Event::Peer { from: peer_address(from), sender: host.id(), message };
         let is_cut = self.now_ms < self.cut_until_ms
             && self.cut_slots.contains(&from) != self.cut_slots.contains(&to);
         if is_cut || (!self.is_healing && self.chance(self.hardness.loss_percent)) {
             return;
         }
-        let copies = if !self.is_healing && self.chance(3) {
-            2
-        } else {
-            1
-        };
+        let copies = if !self.is_healing && self.chance(3) { 2 } else { 1 };
         for _ in 0..copies {
             let delay_ms = if self.chance(10) { 200 } else { 3 };
             let at_ms = self.now_ms + self.rng.random_range(0..=delay_ms);
             let event = event.clone();
-            self.push(
-                at_ms,
-                Happening::Deliver {
-                    slot: to,
-                    run: None,
-                    event,
-                },
-            );
+            self.push(at_ms, Happening::Deliver { slot: to, run: None, event });
         }
     }
 
@@ -460,14 +418,7 @@
             7 => {
                 self.slots[slot].is_stopping = true;
                 let run = Some(self.slots[slot].run);
-                self.push(
-                    now_ms,
-                    Happening::Deliver {
-                        slot,
-                        run,
-                        event: event::Event::Stop,
-                    },
-                );
+                self.push(now_ms, Happening::Deliver { slot, run, event: event::Event::Stop });
             }
             _ => self.toggle_leaving(),
         }
--- a/crates/core/tests/world/platform.rs
+++ b/crates/core/tests/world/platform.rs
@@ -47,26 +47,14 @@
                     return platform::Reply::Conflict;
                 }
                 self.put(key, Arc::clone(value));
-                platform::Reply::Written {
-                    version: self.version,
-                }
+                platform::Reply::Written { version: self.version }
             }
-            platform::Call::Update {
-                key,
-                version,
-                value,
-            } => {
-                if self
-                    .objects
-                    .get(key)
-                    .is_none_or(|(known, _)| known != version)
-                {
+            platform::Call::Update { key, version, value } => {
+                if self.objects.get(key).is_none_or(|(known, _)| known != version) {
                     return platform::Reply::Conflict;
                 }
                 self.put(key, Arc::clone(value));
-                platform::Reply::Written {
-                    version: self.version,
-                }
+                platform::Reply::Written { version: self.version }
             }
             platform::Call::Read { key } => match self.objects.get(key) {
                 Some((version, value)) => platform::Reply::Found(platform::Object {
@@ -76,27 +64,14 @@
                 }),
                 None => platform::Reply::Absent,
             },
-            platform::Call::List {
-                prefix,
-                after,
-                limit,
-            } => {
+            platform::Call::List { prefix, after, limit } => {
                 let objects = self.under(prefix).filter(|object| object.key > *after);
                 let objects = objects.take(*limit as usize).collect();
-                platform::Reply::Listing {
-                    objects,
-                    version: self.version,
-                }
+                platform::Reply::Listing { objects, version: self.version }
             }
             platform::Call::Watch { prefix, after, .. } => {
-                let objects = self
-                    .under(prefix)
-                    .filter(|object| object.version > *after)
-                    .collect();
-                platform::Reply::Listing {
-                    objects,
-                    version: self.version,
-                }
+                let objects = self.under(prefix).filter(|object| object.version > *after).collect();
+                platform::Reply::Listing { objects, version: self.version }
             }
         }
     }
@@ -116,16 +91,7 @@
             _ => 0,
         };
         let until_ms = at_ms + wait_ms;
-        self.push(
-            at_ms,
-            Happening::PlatformExecutes {
-                slot,
-                run,
-                id,
-                call,
-                until_ms,
-            },
-        );
+        self.push(at_ms, Happening::PlatformExecutes { slot, run, id, call, until_ms });
     }
 
     pub(super) fn platform_executes(
@@ -151,16 +117,7 @@
         let is_watch = matches!(call, platform::Call::Watch { .. });
         if is_watch && is_empty && self.now_ms < until_ms {
             let at_ms = self.now_ms + 100;
-            self.push(
-                at_ms,
-                Happening::PlatformExecutes {
-                    slot,
-                    run,
-                    id,
-                    call,
-                    until_ms,
-                },
-            );
+            self.push(at_ms, Happening::PlatformExecutes { slot, run, id, call, until_ms });
             return;
         }
         let delay_ms = self.rng.random_range(1..10);
@@ -191,13 +148,6 @@
     ) {
         let event = event::Event::Platform { call, reply };
         let at_ms = self.now_ms + delay_ms;
-        self.push(
-            at_ms,
-            Happening::Deliver {
-                slot,
-                run: Some(run),
-                event,
-            },
-        );
+        self.push(at_ms, Happening::Deliver { slot, run: Some(run), event });
     }
 }
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -32,18 +32,14 @@
         cli::Command::Check { document } => check_document(&document),
         cli::Command::Diff { document, platform } => diff(&document, Client::new(platform)).await,
         cli::Command::Apply(apply) => apply_document(apply).await,
-        cli::Command::Console {
-            listen,
-            platform,
-            host,
-        } => console::serve(listen, Client::new(platform), host).await,
+        cli::Command::Console { listen, platform, host } => {
+            console::serve(listen, Client::new(platform), host).await
+        }
         cli::Command::Show { platform } => show(Client::new(platform)).await,
         cli::Command::Status { host } => status(host).await,
-        cli::Command::Trail {
-            platform,
-            after,
-            json,
-        } => trail(Client::new(platform), after, json).await,
+        cli::Command::Trail { platform, after, json } => {
+            trail(Client::new(platform), after, json).await
+        }
         cli::Command::Key => {
             draw_key();
             Ok(())
@@ -61,10 +57,8 @@
 /// # Errors
 /// The file cannot be read, or has findings.
 pub fn read_document(file: &path::Path) -> Result<parts::Parts, error::CommandError> {
-    let text = fs::read_to_string(file).map_err(|error| error::CommandError::File {
-        path: file.to_owned(),
-        error,
-    })?;
+    let text = fs::read_to_string(file)
+        .map_err(|error| error::CommandError::File { path: file.to_owned(), error })?;
     let document = check::check(&file.display().to_string(), &text)?;
     Ok(document_parts::cut(&document))
 }
@@ -81,9 +75,7 @@
     reason: &str,
     limit: time::Duration,
 ) -> Result<Option<u64>, error::CommandError> {
-    let now = time::SystemTime::now()
-        .duration_since(time::UNIX_EPOCH)
-        .unwrap_or_default();
+    let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
     let proposal = configuration::Proposal {
         base,
         parts,
@@ -122,15 +114,9 @@
     if let Some(expected) = apply.expect_revision
         && expected != base.revision
     {
-        return Err(error::CommandError::Stale {
-            expected,
-            latest: base.revision,
-        });
+        return Err(error::CommandError::Stale { expected, latest: base.revision });
     }
-    print!(
-        "{}",
-        render::difference(&base.parts, &base.parts.difference_to(&parts))
-    );
+    print!("{}", render::difference(&base.parts, &base.parts.difference_to(&parts)));
     let in_force = base.revision;
     let limit = time::Duration::from_secs(apply.timeout_s);
     let accepted = propose(&client, base, parts, &apply.author, &apply.reason, limit).await?;
@@ -170,14 +156,7 @@
         };
         after = last.revision;
         for change in &changes {
-            print!(
-                "{}",
-                if json {
-                    render::change_json(change)
-                } else {
-                    render::change(change)
-                }
-            );
+            print!("{}", if json { render::change_json(change) } else { render::change(change) });
         }
     }
 }
--- a/crates/ctl/src/console/form.rs
+++ b/crates/ctl/src/console/form.rs
@@ -38,10 +38,7 @@
             ("versions", Kind::Entries),
         ],
         ("models", true) => &[("share_percent", Kind::Integer), ("withdrawn", Kind::Flag)],
-        ("cascades", _) => &[
-            ("stages", Kind::List),
-            ("quality_target_percent", Kind::Integer),
-        ],
+        ("cascades", _) => &[("stages", Kind::List), ("quality_target_percent", Kind::Integer)],
         ("services", _) => &[
             ("pool", Kind::Text),
             ("non_idempotent", Kind::List),
@@ -77,12 +74,8 @@
     let mut document = serde_json::json!({});
     for section in SECTIONS {
         document[section] = serde_json::json!({});
-        let added = fields
-            .get(&format!("new/{section}"))
-            .map(|text| text.trim());
-        let names = names_under(fields, section)
-            .into_iter()
-            .chain(added.map(str::to_owned));
+        let added = fields.get(&format!("new/{section}")).map(|text| text.trim());
+        let names = names_under(fields, section).into_iter().chain(added.map(str::to_owned));
         for name in names.filter(|name| !name.is_empty()) {
             let path = format!("{section}/{name}");
             if !fields.contains_key(&format!("remove/{path}")) {
@@ -110,9 +103,7 @@
 
 fn entries_from(fields: &Fields, section: &str, path: &str) -> Value {
     let mut entries = serde_json::json!({});
-    let added = fields
-        .get(&format!("new/{path}"))
-        .map(|text| text.trim().to_owned());
+    let added = fields.get(&format!("new/{path}")).map(|text| text.trim().to_owned());
     let names = names_under(fields, path).into_iter().chain(added);
     for name in names.filter(|name| !name.is_empty()) {
         let path = format!("{path}/{name}");
@@ -152,10 +143,9 @@
                 .collect(),
         ),
         _ if text.is_empty() => None,
-        Kind::Integer => Some(
-            text.parse::<i64>()
-                .map_or_else(|_| Value::String(text.to_owned()), Value::from),
-        ),
+        Kind::Integer => {
+            Some(text.parse::<i64>().map_or_else(|_| Value::String(text.to_owned()), Value::from))
+        }
         Kind::Flag => Some(match text {
             "true" => Value::Bool(true),
             "false" => Value::Bool(false),
--- a/crates/ctl/src/console/mod.rs
+++ b/crates/ctl/src/console/mod.rs
@@ -70,12 +70,7 @@
     match configuration::load(&console.client).await {
         Ok(snapshot) => {
             let document = form::document_of(&snapshot.parts);
-            web::Html(page::edit(
-                snapshot.revision,
-                &document,
-                &Fields::new(),
-                None,
-            ))
+            web::Html(page::edit(snapshot.revision, &document, &Fields::new(), None))
         }
         Err(error) => web::Html(page::problem(&error.to_string())),
     }
@@ -96,14 +91,7 @@
                 let difference = base.parts.difference_to(&cut);
                 let is_stale = base.revision != revision;
                 let yaml = checked.to_yaml();
-                web::Html(page::preview(
-                    revision,
-                    &base,
-                    &difference,
-                    is_stale,
-                    &yaml,
-                    &fields,
-                ))
+                web::Html(page::preview(revision, &base, &difference, is_stale, &yaml, &fields))
             }
             Err(error) => web::Html(page::problem(&error.to_string())),
         },
@@ -125,9 +113,7 @@
 #[poem::handler]
 async fn hosts(web::Data(console): web::Data<&Arc<Console>>) -> web::Html<String> {
     let Some(host) = console.host else {
-        return web::Html(page::problem(
-            "start the console with --host to see the hosts",
-        ));
+        return web::Html(page::problem("start the console with --host to see the hosts"));
     };
     match fleet::hosts(host).await {
         Ok(hosts) => web::Html(page::hosts(&hosts)),
@@ -138,37 +124,19 @@
 async fn try_apply(console: &Console, fields: &Fields) -> Result<Option<u64>, error::CommandError> {
     let author = required(fields, "author")?;
     let reason = required(fields, "reason")?;
-    let text = fields
-        .get("document")
-        .map(String::as_str)
-        .unwrap_or_default();
+    let text = fields.get("document").map(String::as_str).unwrap_or_default();
     let document = check::check("form", text)?;
     let base = configuration::load(&console.client).await?;
     let expected = revision_of(fields);
     if base.revision != expected {
-        return Err(error::CommandError::Stale {
-            expected,
-            latest: base.revision,
-        });
+        return Err(error::CommandError::Stale { expected, latest: base.revision });
     }
     let limit = time::Duration::from_secs(APPLY_S);
-    commands::propose(
-        &console.client,
-        base,
-        parts::cut(&document),
-        author,
-        reason,
-        limit,
-    )
-    .await
+    commands::propose(&console.client, base, parts::cut(&document), author, reason, limit).await
 }
 
 fn required<'a>(fields: &'a Fields, name: &str) -> Result<&'a str, error::CommandError> {
-    if let Some(text) = fields
-        .get(name)
-        .map(|text| text.trim())
-        .filter(|text| !text.is_empty())
-    {
+    if let Some(text) = fields.get(name).map(|text| text.trim()).filter(|text| !text.is_empty()) {
         Ok(text)
     } else {
         let mut findings = finding::Findings::new("form");
@@ -178,8 +146,5 @@
 }
 
 fn revision_of(fields: &Fields) -> u64 {
-    fields
-        .get("revision")
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0)
+    fields.get("revision").and_then(|text| text.parse().ok()).unwrap_or(0)
 }
--- a/crates/ctl/src/console/page.rs
+++ b/crates/ctl/src/console/page.rs
@@ -43,10 +43,7 @@
         format_args!("<p>Revision {revision} is what you look at. <a href=/hosts>Hosts</a></p>"),
     );
     body.push_str("<form method=post action=/preview>");
-    put(
-        &mut body,
-        format_args!("<input type=hidden name=revision value={revision}>"),
-    );
+    put(&mut body, format_args!("<input type=hidden name=revision value={revision}>"));
     for section in form::SECTIONS {
         put_section(&mut body, section, &document[section], findings);
     }
@@ -82,10 +79,7 @@
         format_args!("<h2>Difference against revision {revision}</h2><pre>{text}</pre>"),
     );
     body.push_str("<form method=post action=/apply>");
-    put(
-        &mut body,
-        format_args!("<input type=hidden name=revision value={revision}>"),
-    );
+    put(&mut body, format_args!("<input type=hidden name=revision value={revision}>"));
     put_people(&mut body, fields);
     put(
         &mut body,
@@ -113,14 +107,8 @@
     let latest = hosts.iter().filter_map(|host| host.revision).max();
     let mut body = "<table><tr><th>Host<th>Data centre<th>State<th>Revision</tr>".to_owned();
     for host in hosts {
-        let class = if host.revision == latest {
-            ""
-        } else {
-            " class=bad"
-        };
-        let revision = host
-            .revision
-            .map_or("silent".to_owned(), |known| known.to_string());
+        let class = if host.revision == latest { "" } else { " class=bad" };
+        let revision = host.revision.map_or("silent".to_owned(), |known| known.to_string());
         let (id, data_centre) = (escape(&host.id), escape(&host.data_centre));
         let status = escape(&host.status);
         put(
@@ -135,10 +123,7 @@
 /// Something went wrong.
 #[must_use]
 pub fn problem(text: &str) -> String {
-    let body = format!(
-        "<p class=bad role=alert>{}</p><p><a href=/>Back</a></p>",
-        escape(text)
-    );
+    let body = format!("<p class=bad role=alert>{}</p><p><a href=/>Back</a></p>", escape(text));
     page("Not done", &body)
 }
 
@@ -158,20 +143,10 @@
     put(out, format_args!("<h2>{section}</h2>"));
     for (name, entry) in entries.as_object().into_iter().flatten() {
         let path = format!("{section}/{name}");
-        put(
-            out,
-            format_args!("<fieldset><legend>{}</legend>", escape(name)),
-        );
+        put(out, format_args!("<fieldset><legend>{}</legend>", escape(name)));
         put_findings(out, &path, findings, true);
         for (field, kind) in form::fields_of(section, false) {
-            put_field(
-                out,
-                section,
-                &format!("{path}/{field}"),
-                *kind,
-                &entry[*field],
-                findings,
-            );
+            put_field(out, section, &format!("{path}/{field}"), *kind, &entry[*field], findings);
         }
         put_remove(out, &path);
         out.push_str("</fieldset>");
@@ -201,13 +176,7 @@
             put_findings(out, &path, findings, true);
         }
         for (field, kind) in nested {
-            put_input(
-                out,
-                &format!("{path}/{field}"),
-                *kind,
-                &entry[*field],
-                findings,
-            );
+            put_input(out, &format!("{path}/{field}"), *kind, &entry[*field], findings);
         }
         put_remove(out, &path);
     }
@@ -225,11 +194,7 @@
     let label = escape(path.split_once('/').map_or(path, |(_, rest)| rest));
     let text = escape(&text_of(value));
     if kind == form::Kind::Flag {
-        let (yes, no) = if text == "true" {
-            (" selected", "")
-        } else {
-            ("", " selected")
-        };
+        let (yes, no) = if text == "true" { (" selected", "") } else { ("", " selected") };
         put(
             out,
             format_args!(
@@ -237,10 +202,7 @@
             ),
         );
     } else {
-        put(
-            out,
-            format_args!("<label>{label}<input name=\"{name}\" value=\"{text}\"></label>"),
-        );
+        put(out, format_args!("<label>{label}<input name=\"{name}\" value=\"{text}\"></label>"));
     }
     put_findings(out, path, findings, false);
 }
@@ -255,18 +217,12 @@
     let dotted = path.replace('/', ".");
     for finding in findings.into_iter().flat_map(|findings| &findings.items) {
         let is_below = is_entry
-            && finding
-                .field
-                .strip_prefix(&dotted)
-                .is_some_and(|rest| rest.starts_with('.'))
+            && finding.field.strip_prefix(&dotted).is_some_and(|rest| rest.starts_with('.'))
             && finding.problem.contains("missing");
         if finding.field == dotted || is_below {
             let (problem, hint) = (escape(&finding.problem), escape(&finding.hint));
             let field = escape(&finding.field);
-            put(
-                out,
-                format_args!("<p class=finding role=alert>{field}: {problem}. {hint}</p>"),
-            );
+            put(out, format_args!("<p class=finding role=alert>{field}: {problem}. {hint}</p>"));
         }
     }
 }
@@ -283,10 +239,7 @@
 
 fn put_new(out: &mut String, path: &str) {
     let name = escape(path);
-    put(
-        out,
-        format_args!("<label>New name in {name}<input name=\"new/{name}\"></label>"),
-    );
+    put(out, format_args!("<label>New name in {name}<input name=\"new/{name}\"></label>"));
 }
 
 fn put_remove(out: &mut String, path: &str) {
@@ -301,20 +254,13 @@
     match value {
         Value::Null => String::new(),
         Value::String(text) => text.clone(),
-        Value::Array(items) => items
-            .iter()
-            .map(text_of)
-            .collect::<Vec<String>>()
-            .join(", "),
+        Value::Array(items) => items.iter().map(text_of).collect::<Vec<String>>().join(", "),
         other => other.to_string(),
     }
 }
 
 fn escape(text: &str) -> String {
-    text.replace('&', "&amp;")
-        .replace('<', "&lt;")
-        .replace('>', "&gt;")
-        .replace('"', "&quot;")
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
 }
 
 fn put(out: &mut String, text: std::fmt::Arguments<'_>) {
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -57,21 +57,13 @@
 /// The first host does not answer.
 pub async fn hosts(admin: net::SocketAddr) -> Result<Vec<HostState>, error::CommandError> {
     let bytes = get(admin, "/status").await?;
-    let answer: StatusAnswer =
-        serde_json::from_slice(&bytes).map_err(|error| error::CommandError::Host {
-            address: admin.to_string(),
-            problem: error.to_string(),
-        })?;
+    let answer: StatusAnswer = serde_json::from_slice(&bytes).map_err(|error| {
+        error::CommandError::Host { address: admin.to_string(), problem: error.to_string() }
+    })?;
     let mut hosts = Vec::new();
-    for member in answer
-        .members
-        .into_iter()
-        .filter(|member| member.status != "dead")
-    {
+    for member in answer.members.into_iter().filter(|member| member.status != "dead") {
         let revision = match get(member.caller_address, "/v1/revision").await {
-            Ok(bytes) => serde_json::from_slice::<RevisionAnswer>(&bytes)
-                .ok()
-                .map(|a| a.revision),
+            Ok(bytes) => serde_json::from_slice::<RevisionAnswer>(&bytes).ok().map(|a| a.revision),
             Err(_) => None,
         };
         hosts.push(HostState {
@@ -104,27 +96,19 @@
             .collect();
         if lacking.is_empty() {
             let took_ms = started.elapsed().as_millis();
-            println!(
-                "revision {revision} is in force on all {} hosts ({took_ms} ms)",
-                hosts.len()
-            );
+            println!("revision {revision} is in force on all {} hosts ({took_ms} ms)", hosts.len());
             return Ok(());
         }
         if started.elapsed() >= limit {
-            return Err(error::CommandError::NotInForce {
-                revision,
-                hosts: lacking.join(", "),
-            });
+            return Err(error::CommandError::NotInForce { revision, hosts: lacking.join(", ") });
         }
         tokio::time::sleep(time::Duration::from_millis(ROUND_MS)).await;
     }
 }
 
 async fn get(address: net::SocketAddr, path: &str) -> Result<bytes::Bytes, error::CommandError> {
-    let fail = |problem: String| error::CommandError::Host {
-        address: address.to_string(),
-        problem,
-    };
+    let fail =
+        |problem: String| error::CommandError::Host { address: address.to_string(), problem };
     let limit = time::Duration::from_millis(ASK_MS);
     match tokio::time::timeout(limit, try_get(address, path)).await {
         Ok(Ok(bytes)) => Ok(bytes),
@@ -138,14 +122,8 @@
     let client: hyper_util::client::legacy::Client<_, http_body_util::Empty<bytes::Bytes>> =
         hyper_util::client::legacy::Client::builder(executor).build_http();
     let uri = format!("http://{address}{path}");
-    let uri = uri
-        .parse()
-        .map_err(|error: hyper::http::uri::InvalidUri| error.to_string())?;
+    let uri = uri.parse().map_err(|error: hyper::http::uri::InvalidUri| error.to_string())?;
     let answer = client.get(uri).await.map_err(|error| error.to_string())?;
     let body = http_body_util::Limited::new(answer.into_body(), BODY_MAX_BYTES);
-    Ok(body
-        .collect()
-        .await
-        .map_err(|error| error.to_string())?
-        .to_bytes())
+    Ok(body.collect().await.map_err(|error| error.to_string())?.to_bytes())
 }
--- a/crates/ctl/src/render.rs
+++ b/crates/ctl/src/render.rs
@@ -17,10 +17,7 @@
     for (key, text) in &difference.set {
         match base.0.get(key) {
             Some(old) => {
-                line(
-                    &mut out,
-                    format_args!("~ {key}\n    was {old}\n    now {text}"),
-                );
+                line(&mut out, format_args!("~ {key}\n    was {old}\n    now {text}"));
             }
             None => line(&mut out, format_args!("+ {key} {text}")),
         }
@@ -55,9 +52,7 @@
 /// A change as one JSON line.
 #[must_use]
 pub fn change_json(change: &replica::Change) -> String {
-    serde_json::to_string(change)
-        .map(|json| json + "\n")
-        .unwrap_or_default()
+    serde_json::to_string(change).map(|json| json + "\n").unwrap_or_default()
 }
 
 /// Hosts and what they have in force, as a table.
@@ -72,9 +67,7 @@
         ),
     );
     for host in hosts {
-        let revision = host
-            .revision
-            .map_or("silent".to_owned(), |known| known.to_string());
+        let revision = host.revision.map_or("silent".to_owned(), |known| known.to_string());
         line(
             &mut out,
             format_args!(
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -15,9 +15,7 @@
 /// # Errors
 /// The address is in use or not one of this machine.
 pub async fn listen(view: control::SharedView, address: net::SocketAddr) -> std::io::Result<()> {
-    let acceptor = poem::listener::TcpListener::bind(address)
-        .into_acceptor()
-        .await?;
+    let acceptor = poem::listener::TcpListener::bind(address).into_acceptor().await?;
     let routes = poem::Route::new()
         .at("/healthz", poem::get(health))
         .at("/readyz", poem::get(readiness))
@@ -26,10 +24,7 @@
         .data(view);
     let endpoint = routes.into_endpoint();
     tokio::spawn(async move {
-        if let Err(error) = poem::Server::new_with_acceptor(acceptor)
-            .run(endpoint)
-            .await
-        {
+        if let Err(error) = poem::Server::new_with_acceptor(acceptor).run(endpoint).await {
             log::error!(target: "toucanwall", "operators are no longer served: {error}");
         }
     });
@@ -49,9 +44,7 @@
     } else {
         poem::http::StatusCode::SERVICE_UNAVAILABLE
     };
-    poem::Response::builder()
-        .status(code)
-        .body(format!("{}\n", picture.host.readiness))
+    poem::Response::builder().status(code).body(format!("{}\n", picture.host.readiness))
 }
 
 #[poem::handler]
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -43,12 +43,8 @@
 pub fn channel(request_id: String) -> (Sink, Source) {
     let (head_sender, head) = tokio::sync::oneshot::channel();
     let (body_sender, body) = tokio::sync::mpsc::channel(PIECES_MAX);
-    let sink = Sink {
-        head: Some(head_sender),
-        body: body_sender,
-        request_id,
-        is_event_stream: false,
-    };
+    let sink =
+        Sink { head: Some(head_sender), body: body_sender, request_id, is_event_stream: false };
     (sink, Source { head, body })
 }
 
@@ -152,11 +148,7 @@
             self.send(event.into()).await;
         } else {
             // Breaking off is the one way left to say that the answer is not whole.
-            drop(
-                self.body
-                    .send(Err(io::Error::from(io::ErrorKind::ConnectionAborted)))
-                    .await,
-            );
+            drop(self.body.send(Err(io::Error::from(io::ErrorKind::ConnectionAborted))).await);
         }
     }
 
@@ -166,11 +158,7 @@
         if let Some(retry_after_ms) = problem.retry_after_ms {
             headers.push(("retry-after", retry_after_ms.div_ceil(1_000).to_string()));
         }
-        self.send_head(Head {
-            status,
-            content_type: Arc::from("application/json"),
-            headers,
-        });
+        self.send_head(Head { status, content_type: Arc::from("application/json"), headers });
         self.send(problem.to_json().into()).await;
     }
 }
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -12,6 +12,8 @@
 
 /// Time for a new connection, in milliseconds.
 const CONNECT_MS: u64 = 1_000;
+/// Time for a probe whether a server takes connections, in milliseconds.
+const PROBE_MS: u64 = 500;
 /// Idle connections kept for one server.
 const IDLE_MAX: usize = 64;
 
@@ -76,13 +78,11 @@
         {
             match self.send(server, sender, outgoing, progress).await {
                 // An idle connection may have been closed meanwhile: a new one tells.
-                Err(event::Fault::Broken) => {}
+                Err(event::Fault::Cut) => {}
                 other => return other,
             }
         }
-        let sender = connect(server)
-            .await
-            .map_err(|_ignored| event::Fault::NotSent)?;
+        let sender = connect(server).await.map_err(|_ignored| event::Fault::NotSent)?;
         self.send(server, sender, outgoing, progress).await
     }
 
@@ -97,17 +97,16 @@
         let answer = tokio::time::timeout(progress, sender.send_request(request))
             .await
             .map_err(|_ignored| event::Fault::Silent)?
-            .map_err(|_ignored| event::Fault::Broken)?;
+            .map_err(|_ignored| event::Fault::Cut)?;
         let (parts, body) = answer.into_parts();
-        Ok((
-            parts,
-            Exchange {
-                server,
-                sender: Some(sender),
-                body,
-                progress,
-            },
-        ))
+        Ok((parts, Exchange { server, sender: Some(sender), body, progress }))
+    }
+
+    /// Whether a server takes new connections.
+    pub async fn probe(&self, server: net::SocketAddr) -> bool {
+        let limit = time::Duration::from_millis(PROBE_MS);
+        let connecting = tokio::net::TcpStream::connect(server);
+        matches!(tokio::time::timeout(limit, connecting).await, Ok(Ok(_)))
     }
 
     fn take_idle(&self, server: net::SocketAddr) -> Option<Sender> {
@@ -136,7 +135,7 @@
         match tokio::time::timeout(self.progress, self.body.frame()).await {
             Err(_) => Piece::Fault(event::Fault::Silent),
             Ok(None) => Piece::End,
-            Ok(Some(Err(_))) => Piece::Fault(event::Fault::Broken),
+            Ok(Some(Err(_))) => Piece::Fault(event::Fault::Cut),
             Ok(Some(Ok(frame))) => Piece::Data(frame.into_data().unwrap_or_default()),
         }
     }
@@ -156,9 +155,8 @@
     let stream = tokio::time::timeout(limit, tokio::net::TcpStream::connect(server)).await??;
     stream.set_nodelay(true)?;
     let io = hyper_util::rt::TokioIo::new(stream);
-    let (sender, connection) = hyper::client::conn::http1::handshake(io)
-        .await
-        .map_err(std::io::Error::other)?;
+    let (sender, connection) =
+        hyper::client::conn::http1::handshake(io).await.map_err(std::io::Error::other)?;
     tokio::spawn(async move {
         // The exchange on this connection sees the same error.
         drop(connection.await);
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -127,17 +127,7 @@
         let started = time::Instant::now();
         let host = Host::new(config, now(started));
         let commands = collections::BTreeMap::new();
-        Self {
-            host,
-            peers,
-            platform,
-            runtime,
-            view,
-            inputs,
-            commands,
-            started,
-            is_stopped: false,
-        }
+        Self { host, peers, platform, runtime, view, inputs, commands, started, is_stopped: false }
     }
 
     /// Runs until the host has stopped.
@@ -234,18 +224,13 @@
     }
 
     fn publish(&self) {
-        self.view.set(Picture {
-            host: self.host.view(),
-            sent: self.peers.sent(),
-        });
+        self.view.set(Picture { host: self.host.view(), sent: self.peers.sent() });
     }
 }
 
 /// The time by both clocks.
 fn now(started: time::Instant) -> host::Now {
-    let wall = time::SystemTime::now()
-        .duration_since(time::UNIX_EPOCH)
-        .unwrap_or_default();
+    let wall = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
     host::Now {
         mono_ms: u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX),
         wall_s: wall.as_secs(),
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -1,5 +1,6 @@
 //! One request's task: carries out the control thread's commands about it.
 
+use std::net;
 use std::sync::Arc;
 
 use toucanwall_coordination::ledger::entry;
@@ -145,33 +146,36 @@
     async fn rate(&mut self, attempt: event::Attempt) -> Next {
         let score_percent = match &self.rating {
             Some(rating) => {
-                rating
-                    .rate(&self.held.item, &self.outgoing.body, &self.held.bytes)
-                    .await
+                rating.rate(&self.held.item, &self.outgoing.body, &self.held.bytes).await
             }
             None => None,
         };
         let ticket = self.head.ticket;
-        self.inputs.event(event::Event::Rated {
-            ticket,
-            attempt,
-            score_percent,
-        });
+        self.inputs.event(event::Event::Rated { ticket, attempt, score_percent });
         Next::Command
     }
 
+    /// A broken connection to a server that takes no new ones means that it went down.
+    async fn tell_crash(&self, mut outcome: Outcome, server: net::SocketAddr) -> Outcome {
+        if let Outcome::Ended(event::AttemptEnd::Failed { fault, .. }) = &mut outcome
+            && *fault == event::Fault::Cut
+            && !self.backends.probe(server).await
+        {
+            *fault = event::Fault::Crashed;
+        }
+        outcome
+    }
+
     async fn attempt(&mut self, dispatch: action::Dispatch) -> Next {
         let ticket = self.head.ticket;
         let attempt = dispatch.attempt;
+        let server = dispatch.server;
         let mut runner = Attempt::new(self, dispatch);
         let outcome = runner.run().await;
         let is_over = runner.is_over;
+        let outcome = self.tell_crash(outcome, server).await;
         if let Outcome::Ended(end) = outcome {
-            self.inputs.event(event::Event::AttemptEnded {
-                ticket,
-                attempt,
-                end,
-            });
+            self.inputs.event(event::Event::AttemptEnded { ticket, attempt, end });
         }
         if is_over { Next::End } else { Next::Command }
     }
@@ -271,11 +275,7 @@
 
     fn outgoing(&self) -> backend::Outgoing {
         let mut outgoing = self.task.outgoing.clone();
-        put_header(
-            &mut outgoing.headers,
-            "x-toucanwall-item",
-            &self.dispatch.item,
-        );
+        put_header(&mut outgoing.headers, "x-toucanwall-item", &self.dispatch.item);
         if self.dispatch.resume_from > 0 {
             let resume_from = self.dispatch.resume_from.to_string();
             put_header(&mut outgoing.headers, "x-resume-from", &resume_from);
@@ -316,13 +316,10 @@
         self.content_type = header(parts, "content-type").unwrap_or_default().into();
         if let Some(running) = header(parts, "x-load-running").and_then(|text| text.parse().ok()) {
             let server = self.dispatch.server;
-            self.task
-                .inputs
-                .event(event::Event::LoadReported { server, running });
+            self.task.inputs.event(event::Event::LoadReported { server, running });
         }
-        self.tokens = header(parts, "x-usage-tokens")
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0);
+        self.tokens =
+            header(parts, "x-usage-tokens").and_then(|text| text.parse().ok()).unwrap_or(0);
         if self.content_type.starts_with("text/event-stream") {
             self.events = Some(sse::Events::default());
         }
@@ -347,19 +344,13 @@
         if let Some(token) = &self.dispatch.session_token {
             headers.push(("x-toucanwall-session", token.to_string()));
         }
-        answer::Head {
-            status: self.status,
-            content_type: Arc::clone(&self.content_type),
-            headers,
-        }
+        answer::Head { status: self.status, content_type: Arc::clone(&self.content_type), headers }
     }
 
     /// Takes bytes; returns those that go to the caller now.
     fn take_data(&mut self, data: &bytes::Bytes) -> Result<bytes::Bytes, event::Fault> {
         let piece = match &mut self.events {
-            Some(events) => events
-                .take(data)
-                .map_err(|_ignored| event::Fault::TooLong)?,
+            Some(events) => events.take(data).map_err(|_ignored| event::Fault::TooLong)?,
             None => data.clone(),
         };
         if !self.task.outgoing.is_idempotent && self.kept.len() <= entry::KEPT_ANSWER_MAX_BYTES {
@@ -381,7 +372,7 @@
         if let Some(events) = &self.events {
             // Without its last event a stream is not whole, however it ended.
             let Some(done) = events.done() else {
-                return self.failed(event::Fault::Broken);
+                return self.failed(event::Fault::Cut);
             };
             self.task.held.tail = Some(done);
             self.tokens = self.tokens.max(events.passed());
@@ -389,15 +380,8 @@
         let body = (self.kept.len() <= entry::KEPT_ANSWER_MAX_BYTES)
             .then(|| Arc::from(std::mem::take(&mut self.kept)));
         let content_type = Arc::clone(&self.content_type);
-        let answer = entry::KeptAnswer {
-            status: self.status,
-            content_type,
-            body,
-        };
-        Outcome::Ended(event::AttemptEnd::Answered {
-            tokens: self.tokens,
-            answer,
-        })
+        let answer = entry::KeptAnswer { status: self.status, content_type, body };
+        Outcome::Ended(event::AttemptEnd::Answered { tokens: self.tokens, answer })
     }
 
     fn failed(&self, fault: event::Fault) -> Outcome {
@@ -417,17 +401,11 @@
     if header(parts, "x-not-run").is_some() {
         return Some(event::Fault::Declined);
     }
-    parts
-        .status
-        .is_server_error()
-        .then_some(event::Fault::ErrorStatus)
+    parts.status.is_server_error().then_some(event::Fault::ErrorStatus)
 }
 
 fn header<'a>(parts: &'a hyper::http::response::Parts, name: &str) -> Option<&'a str> {
-    parts
-        .headers
-        .get(name)
-        .and_then(|value| value.to_str().ok())
+    parts.headers.get(name).and_then(|value| value.to_str().ok())
 }
 
 fn put_header(headers: &mut hyper::HeaderMap, name: &'static str, value: &str) {
--- a/crates/daemon/src/front.rs
+++ b/crates/daemon/src/front.rs
@@ -89,9 +89,7 @@
 /// # Errors
 /// The address is in use or not one of this machine.
 pub async fn listen(front: Arc<Front>, address: net::SocketAddr) -> std::io::Result<()> {
-    let acceptor = poem::listener::TcpListener::bind(address)
-        .into_acceptor()
-        .await?;
+    let acceptor = poem::listener::TcpListener::bind(address).into_acceptor().await?;
     let routes = poem::Route::new()
         .at("/v1/addresses", poem::get(addresses))
         .at("/v1/revision", poem::get(revision))
@@ -100,10 +98,7 @@
         .data(front);
     let endpoint = routes.into_endpoint();
     tokio::spawn(async move {
-        if let Err(error) = poem::Server::new_with_acceptor(acceptor)
-            .run(endpoint)
-            .await
-        {
+        if let Err(error) = poem::Server::new_with_acceptor(acceptor).run(endpoint).await {
             log::error!(target: "toucanwall", "callers are no longer served: {error}");
         }
     });
@@ -147,11 +142,7 @@
         }
     };
     let Some(model) = json["model"].as_str() else {
-        return problem(
-            400,
-            "malformed_body",
-            "body: `model` must name a model or cascade",
-        );
+        return problem(400, "malformed_body", "body: `model` must name a model or cascade");
     };
     let incoming = Incoming {
         method: hyper::Method::POST,
@@ -173,11 +164,7 @@
         Ok(body) => body,
         Err(response) => return *response,
     };
-    let query = request
-        .uri()
-        .query()
-        .map(|query| format!("?{query}"))
-        .unwrap_or_default();
+    let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
     let incoming = Incoming {
         method: request.method().clone(),
         path: format!("/{path}{query}"),
@@ -197,11 +184,7 @@
             let hint = format!("the body may have {BODY_MAX_BYTES} bytes at most");
             Err(Box::new(problem(413, "body_too_large", &hint)))
         }
-        Err(_) => Err(Box::new(problem(
-            400,
-            "body_cut_off",
-            "the body did not come whole",
-        ))),
+        Err(_) => Err(Box::new(problem(400, "body_cut_off", "the body did not come whole"))),
     }
 }
 
@@ -219,9 +202,7 @@
         target: incoming.target.clone(),
         session,
         idempotency_key: header("idempotency-key").map(Arc::from),
-        deadline_ms: number("x-deadline-ms")
-            .unwrap_or(DEADLINE_DEFAULT_MS)
-            .min(DEADLINE_MAX_MS),
+        deadline_ms: number("x-deadline-ms").unwrap_or(DEADLINE_DEFAULT_MS).min(DEADLINE_MAX_MS),
         class: header("x-request-class").map_or_else(|| size_class(incoming.body.len()), Arc::from),
         content: content_digest(incoming),
         prefix: (incoming.body.len() >= PREFIX_BYTES)
@@ -252,9 +233,7 @@
     };
     let status =
         poem::http::StatusCode::from_u16(head.status).unwrap_or(poem::http::StatusCode::OK);
-    let mut response = poem::Response::builder()
-        .status(status)
-        .content_type(&*head.content_type);
+    let mut response = poem::Response::builder().status(status).content_type(&*head.content_type);
     for (name, value) in head.headers {
         response = response.header(name, value);
     }
@@ -268,18 +247,13 @@
     });
     let status =
         poem::http::StatusCode::from_u16(status).unwrap_or(poem::http::StatusCode::BAD_REQUEST);
-    poem::Response::builder()
-        .status(status)
-        .content_type("application/json")
-        .body(json.to_string())
+    poem::Response::builder().status(status).content_type("application/json").body(json.to_string())
 }
 
 /// The digest of a bearer token.
 fn key_digest(authorization: &str) -> Arc<str> {
     use sha2::Digest as _;
-    let key = authorization
-        .strip_prefix("Bearer ")
-        .unwrap_or(authorization);
+    let key = authorization.strip_prefix("Bearer ").unwrap_or(authorization);
     hex::encode(sha2::Sha256::digest(key.trim().as_bytes())).into()
 }
 
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -31,8 +31,6 @@
 
 /// Seconds since the epoch, to the millisecond.
 fn seconds() -> String {
-    let since = time::SystemTime::now()
-        .duration_since(time::UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
     format!("{}.{:03}", since.as_secs(), since.subsec_millis())
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -20,26 +20,14 @@
     register_count(&mut registry, "peer_messages_sent", picture.sent.messages);
     register_count(&mut registry, "peer_bytes_sent", picture.sent.bytes);
     register_count(&mut registry, "peer_messages_dropped", picture.sent.dropped);
-    register_gauge(
-        &mut registry,
-        "configuration_revision",
-        picture.host.revision,
-    );
-    register_gauge(
-        &mut registry,
-        "requests_in_flight",
-        to_u64(picture.host.requests_in_flight),
-    );
+    register_gauge(&mut registry, "configuration_revision", picture.host.revision);
+    register_gauge(&mut registry, "requests_in_flight", to_u64(picture.host.requests_in_flight));
     register_gauge(
         &mut registry,
         "ledger_pending_bytes",
         to_u64(picture.host.ledger_pending_bytes),
     );
-    register_gauge(
-        &mut registry,
-        "backups_kept",
-        to_u64(picture.host.backups_kept),
-    );
+    register_gauge(&mut registry, "backups_kept", to_u64(picture.host.backups_kept));
     register_refusals(&mut registry, picture);
     let mut out = String::new();
     text::encode(&mut out, &registry)?;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -64,28 +64,17 @@
         let verifier = keys.clone();
         thread::spawn(move || hear(&socket, &verifier, &inputs));
         let sockets = collections::BTreeMap::new();
-        Ok(Self {
-            me,
-            keys,
-            sockets,
-            sent: Sent::default(),
-        })
+        Ok(Self { me, keys, sockets, sent: Sent::default() })
     }
 
     /// Sends a message without waiting; a peer that does not take it misses it.
     pub fn send(&mut self, to: net::SocketAddr, message: message::Message) {
-        let opened = envelope::Opened {
-            sender: self.me.id,
-            from: self.me.address,
-            message,
-        };
+        let opened = envelope::Opened { sender: self.me.id, from: self.me.address, message };
         let bytes = envelope::seal(&self.keys, &opened);
         self.sent.messages += 1;
         self.sent.bytes += u64::try_from(bytes.len()).unwrap_or(0);
         let is_sent = match self.socket(to) {
-            Ok(socket) => socket
-                .try_send(nng::Message::from(bytes.as_slice()))
-                .is_ok(),
+            Ok(socket) => socket.try_send(nng::Message::from(bytes.as_slice())).is_ok(),
             Err(error) => {
                 log::warn!(target: "toucanwall", "cannot connect to {to}: {error}");
                 false
--- a/crates/daemon/src/rating.rs
+++ b/crates/daemon/src/rating.rs
@@ -39,9 +39,7 @@
     /// Asks how good an answer is, in percent; nothing if the service does not say in time.
     pub async fn rate(&self, item: &str, prompt: &[u8], answer: &[u8]) -> Option<u64> {
         let limit = time::Duration::from_millis(RATE_MS);
-        tokio::time::timeout(limit, self.ask(item, prompt, answer))
-            .await
-            .ok()?
+        tokio::time::timeout(limit, self.ask(item, prompt, answer)).await.ok()?
     }
 
     async fn ask(&self, item: &str, prompt: &[u8], answer: &[u8]) -> Option<u64> {
@@ -57,8 +55,6 @@
         let answer = self.http.request(request).await.ok()?;
         let body = http_body_util::Limited::new(answer.into_body(), BODY_MAX_BYTES);
         let bytes = body.collect().await.ok()?.to_bytes();
-        serde_json::from_slice::<Rated>(&bytes)
-            .ok()
-            .map(|rated| rated.score_percent)
+        serde_json::from_slice::<Rated>(&bytes).ok().map(|rated| rated.score_percent)
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -101,53 +101,28 @@
     runtime: &tokio::runtime::Runtime,
 ) -> Result<(), RunError> {
     let config = host_config(settings, keys.clone());
-    let me = peers::Me {
-        id: config.info.id,
-        address: settings.peer_address,
-    };
+    let me = peers::Me { id: config.info.id, address: settings.peer_address };
     log::info!(target: "toucanwall", "host {} starts in {}", me.id, settings.data_centre);
     let platform = Client::new(settings.platform_address);
     let (inputs, inbox) = control::channel();
     let peers = peers::Peers::listen(me, keys, inputs.clone()).map_err(|error| {
         let address = settings.peer_address;
-        RunError::Listen {
-            field: "peer_address",
-            address,
-            error: error.to_string(),
-        }
+        RunError::Listen { field: "peer_address", address, error: error.to_string() }
     })?;
     let view = control::SharedView::default();
     let front = Arc::new(front::Front::new(settings, inputs.clone(), view.clone()));
     let handle = runtime.handle().clone();
-    let control = control::Control::new(
-        config,
-        peers,
-        platform,
-        handle,
-        view.clone(),
-        inputs.clone(),
-    );
+    let control =
+        control::Control::new(config, peers, platform, handle, view.clone(), inputs.clone());
     runtime.block_on(async {
-        front::listen(front, settings.caller_address)
-            .await
-            .map_err(|error| {
-                let address = settings.caller_address;
-                RunError::Listen {
-                    field: "caller_address",
-                    address,
-                    error: error.to_string(),
-                }
-            })?;
-        admin::listen(view, settings.admin_address)
-            .await
-            .map_err(|error| {
-                let address = settings.admin_address;
-                RunError::Listen {
-                    field: "admin_address",
-                    address,
-                    error: error.to_string(),
-                }
-            })
+        front::listen(front, settings.caller_address).await.map_err(|error| {
+            let address = settings.caller_address;
+            RunError::Listen { field: "caller_address", address, error: error.to_string() }
+        })?;
+        admin::listen(view, settings.admin_address).await.map_err(|error| {
+            let address = settings.admin_address;
+            RunError::Listen { field: "admin_address", address, error: error.to_string() }
+        })
     })?;
     runtime.spawn(stop_on_signal(inputs));
     control.run(&inbox);
@@ -173,9 +148,7 @@
 
 fn host_config(settings: &settings::Settings, keys: envelope::Keys) -> host::Config {
     let mut rng = rand::rng();
-    let started = time::SystemTime::now()
-        .duration_since(time::UNIX_EPOCH)
-        .unwrap_or_default();
+    let started = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
     host::Config {
         info: identity::HostInfo {
             id: identity::HostId(rng.random()),
@@ -202,15 +175,10 @@
 
 fn read_keys(file: &path::Path) -> Result<envelope::Keys, RunError> {
     let text = read(file)?;
-    envelope::Keys::try_from(text.as_str()).map_err(|error| RunError::Keys {
-        path: file.to_owned(),
-        error,
-    })
+    envelope::Keys::try_from(text.as_str())
+        .map_err(|error| RunError::Keys { path: file.to_owned(), error })
 }
 
 fn read(file: &path::Path) -> Result<String, RunError> {
-    fs::read_to_string(file).map_err(|error| RunError::Read {
-        path: file.to_owned(),
-        error,
-    })
+    fs::read_to_string(file).map_err(|error| RunError::Read { path: file.to_owned(), error })
 }
--- a/crates/daemon/src/sse.rs
+++ b/crates/daemon/src/sse.rs
@@ -39,11 +39,7 @@
                 out.extend_from_slice(&event);
             }
         }
-        if self.partial.len() > EVENT_MAX_BYTES {
-            Err(EventTooLong)
-        } else {
-            Ok(out.freeze())
-        }
+        if self.partial.len() > EVENT_MAX_BYTES { Err(EventTooLong) } else { Ok(out.freeze()) }
     }
 
     /// Data events passed on so far.
@@ -60,10 +56,7 @@
 }
 
 fn event_length(bytes: &[u8]) -> Option<usize> {
-    bytes
-        .windows(2)
-        .position(|pair| pair == b"\n\n")
-        .map(|at| at + 2)
+    bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2)
 }
 
 fn is_data(event: &[u8]) -> bool {
--- /dev/null
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -0,0 +1,432 @@
+//! Real daemons on loopback before stand-ins in the test's own process.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::collections;
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+use std::sync::Arc;
+use std::sync::atomic;
+use std::time;
+
+use http_body_util::BodyExt as _;
+use toucanwall_coordination::ledger::entry;
+use toucanwall_coordination::replica;
+use toucanwall_document::check;
+use toucanwall_document::parts;
+use toucanwall_platform::Client;
+use toucanwall_platform::configuration;
+use toucanwall_standin::engine;
+use toucanwall_standin::fixture;
+use toucanwall_standin::platform;
+use toucanwall_standin::rating;
+use toucanwall_standin::server;
+use toucanwall_standin::service;
+
+/// The organisation's key.
+pub const KEY: &str = "a-key-of-the-test";
+/// How long a test waits for something that has no bound of its own.
+const PATIENCE: time::Duration = time::Duration::from_secs(60);
+const SHARDS: u32 = 2;
+
+type Body = http_body_util::Full<bytes::Bytes>;
+type Connector = hyper_util::client::legacy::connect::HttpConnector;
+
+/// A deployment.
+pub struct Fleet {
+    pub platform: platform::Platform,
+    pub platform_address: net::SocketAddr,
+    pub engines: Vec<(engine::Engine, server::Running)>,
+    pub service: service::Service,
+    pub hosts: Vec<HostProcess>,
+    directory: tempfile::TempDir,
+    http: hyper_util::client::legacy::Client<Connector, Body>,
+    _servers: Vec<server::Running>,
+}
+
+/// One daemon.
+pub struct HostProcess {
+    pub child: process::Child,
+    pub caller: net::SocketAddr,
+    pub peer: net::SocketAddr,
+    pub admin: net::SocketAddr,
+    settings: path::PathBuf,
+}
+
+/// An answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: hyper::HeaderMap,
+    pub body: String,
+    /// Whether the body came to its proper end.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    pub fn error_type(&self) -> String {
+        let json: serde_json::Value = serde_json::from_str(&self.body).unwrap_or_default();
+        json["error"]["type"].as_str().unwrap_or_default().to_owned()
+    }
+
+    pub fn tokens(&self) -> Vec<String> {
+        self.body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "))
+            .filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok())
+            .filter_map(|json| json["choices"][0]["delta"]["content"].as_str().map(str::to_owned))
+            .collect()
+    }
+}
+
+impl Drop for HostProcess {
+    fn drop(&mut self) {
+        self.child.kill().unwrap_or_default();
+        self.child.wait().map(drop).unwrap_or_default();
+    }
+}
+
+/// What a quick engine does.
+pub fn behaviour() -> engine::Behaviour {
+    engine::Behaviour {
+        loaded: ["small@1", "small@2", "large@1"].map(str::to_owned).into(),
+        first_token_ms: 5,
+        between_tokens_ms: 1,
+        silent_after: None,
+        cut_after: None,
+    }
+}
+
+/// The document of the tests, with changes to its text.
+pub fn document(from: &str, to: &str) -> String {
+    let digest = {
+        use sha2::Digest as _;
+        hex::encode(sha2::Sha256::digest(KEY.as_bytes()))
+    };
+    let text = format!(
+        "pools:\n  engines: {{ progress_ms: 1000 }}\n  desk: {{ progress_ms: 4000 }}\n\
+         models:\n  small:\n    pool: engines\n    cost_microcents_per_kilotoken: 1000\n    versions:\n      \"1\": {{ share_percent: 100 }}\n      \"2\": {{ share_percent: 0 }}\n\
+         \x20 large:\n    pool: engines\n    cost_microcents_per_kilotoken: 9000\n    versions:\n      \"1\": {{ share_percent: 100 }}\n\
+         cascades:\n  chat: {{ stages: [small, large], quality_target_percent: 80 }}\n\
+         services:\n  desk: {{ pool: desk, non_idempotent: [\"POST /bookings\"], cost_microcents_per_call: 7 }}\n\
+         organisations:\n  org:\n    key_sha256: {digest}\n    models: [small, large]\n    cascades: [chat]\n    services: [desk]\n    requests_per_s: 100000\n"
+    );
+    assert!(text.contains(from), "the document has no `{from}`");
+    text.replace(from, to)
+}
+
+impl Fleet {
+    /// Starts stand-ins and `hosts` daemons, and waits until they are ready.
+    pub async fn start(hosts: usize) -> Self {
+        let platform = platform::Platform::new();
+        let running = platform.serve(loopback()).await.expect("a free port");
+        let platform_address = running.address;
+        let rating = rating::serve(loopback()).await.expect("a free port");
+        let service = service::Service::new();
+        let desk = service.serve(loopback()).await.expect("a free port");
+        fixture::list_server(&platform, "desk", desk.address, &collections::BTreeSet::new(), false);
+        let rating_address = rating.address;
+        let mut fleet = Self {
+            platform,
+            platform_address,
+            engines: Vec::new(),
+            service,
+            hosts: Vec::new(),
+            directory: tempfile::tempdir().expect("a directory"),
+            http: hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new())
+                .build_http(),
+            _servers: vec![running, rating, desk],
+        };
+        for _ in 0..3 {
+            fleet.add_engine(behaviour()).await;
+        }
+        fleet.apply(&document("", "")).await;
+        let keys = fleet.directory.path().join("keys");
+        fs::write(keys, "1:secret-of-the-test-hosts\n").expect("a key file");
+        let peers: Vec<net::SocketAddr> = (0..hosts).map(|_| free_address()).collect();
+        for (index, peer) in peers.iter().enumerate() {
+            fleet.write_settings(index, *peer, &peers, rating_address);
+            let host = fleet.spawn(index, *peer);
+            fleet.hosts.push(host);
+        }
+        for index in 0..hosts {
+            fleet.wait_ready(index).await;
+        }
+        fleet.wait_members(hosts).await;
+        fleet
+    }
+
+    pub async fn add_engine(&mut self, behaviour: engine::Behaviour) {
+        let loaded = behaviour.loaded.clone();
+        let engine = engine::Engine::new(behaviour);
+        let running = engine.serve(loopback()).await.expect("a free port");
+        fixture::list_server(&self.platform, "engines", running.address, &loaded, false);
+        self.engines.push((engine, running));
+    }
+
+    /// Puts a document in force at the platform.
+    pub async fn apply(&self, text: &str) -> configuration::Outcome {
+        let client = Client::new(self.platform_address);
+        let document = check::check("test", text).unwrap_or_else(|findings| panic!("{findings}"));
+        let base = configuration::load(&client).await.expect("the platform answers");
+        let proposal = configuration::Proposal {
+            base,
+            parts: parts::cut(&document),
+            author: Arc::from("test"),
+            reason: Arc::from("test"),
+            at_ms: 0,
+            nonce: 7,
+        };
+        configuration::append(&client, &proposal, PATIENCE).await
+    }
+
+    /// Replaces a daemon by a new one with the same settings.
+    pub async fn restart(&mut self, index: usize) {
+        let peer = self.hosts[index].peer;
+        self.hosts[index].child.kill().unwrap_or_default();
+        self.hosts[index].child.wait().map(drop).unwrap_or_default();
+        let host = self.spawn(index, peer);
+        self.hosts[index] = host;
+    }
+
+    pub async fn wait_ready(&self, index: usize) {
+        let admin = self.hosts[index].admin;
+        self.wait_for("the host to be ready", async || {
+            self.get(admin, "/readyz").await.is_some_and(|answer| answer.status == 200)
+        })
+        .await;
+    }
+
+    pub async fn wait_members(&self, count: usize) {
+        for host in &self.hosts {
+            self.wait_for("the members to see each other", async || {
+                let Some(answer) = self.get(host.admin, "/status").await else {
+                    return false;
+                };
+                answer.body.matches("\"alive\"").count() >= count
+            })
+            .await;
+        }
+    }
+
+    /// Waits until every host has the platform's revision in force.
+    pub async fn wait_in_force(&self) {
+        let revision = self.revision().await;
+        for host in &self.hosts {
+            self.wait_for("the revision to be in force", async || {
+                let Some(answer) = self.get(host.admin, "/status").await else {
+                    return false;
+                };
+                answer.body.contains(&format!("\"revision\":{revision}"))
+            })
+            .await;
+        }
+    }
+
+    pub async fn wait_for<F>(&self, what: &str, is_so: F)
+    where
+        F: AsyncFn() -> bool,
+    {
+        let started = time::Instant::now();
+        while !is_so().await {
+            if started.elapsed() >= PATIENCE {
+                panic!("waited in vain for {what}\n{}", self.logs());
+            }
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    }
+
+    fn logs(&self) -> String {
+        let logs = self.hosts.iter().enumerate().map(|(index, host)| {
+            let file = self.directory.path().join(format!("host-{index}.log"));
+            let text = fs::read_to_string(file).unwrap_or_default();
+            let last: Vec<&str> = text.lines().rev().take(12).collect();
+            format!("host {index} at {}: {last:#?}\n", host.peer)
+        });
+        logs.collect::<Vec<String>>().concat()
+    }
+
+    /// The bills in the ledger that count: the first one for each request.
+    pub fn bills(&self) -> Vec<entry::Bill> {
+        let mut seen = collections::BTreeSet::new();
+        let mut bills = self.bills_written();
+        bills.retain(|bill| seen.insert(bill.id));
+        bills
+    }
+
+    /// All bills in the log, in its order.
+    fn bills_written(&self) -> Vec<entry::Bill> {
+        let mut bills = Vec::new();
+        for shard in 0..SHARDS {
+            for (_, value) in self.platform.under(&format!("ledger/{shard:04}/log/")) {
+                let batch: entry::Batch = postcard::from_bytes(&value).expect("a batch decodes");
+                bills.extend(batch.entries.into_iter().filter_map(|entry| match entry {
+                    entry::Entry::Bill(bill) => Some(bill),
+                    _ => None,
+                }));
+            }
+        }
+        bills
+    }
+
+    pub async fn chat(&self, host: usize, prompt: &str, max_tokens: u64) -> Answer {
+        self.chat_with(host, prompt, max_tokens, &[]).await.expect("the host answers")
+    }
+
+    /// Sends a streamed chat; nothing if the connection fails before the answer's head.
+    pub async fn chat_with(
+        &self,
+        host: usize,
+        prompt: &str,
+        max_tokens: u64,
+        headers: &[(&str, &str)],
+    ) -> Option<Answer> {
+        let model = headers.iter().find(|(name, _)| *name == "model").map_or("small", |h| h.1);
+        let body = serde_json::json!({
+            "model": model,
+            "stream": true,
+            "max_tokens": max_tokens,
+            "messages": [{ "role": "user", "content": prompt }],
+        });
+        let address = self.hosts[host].caller;
+        let uri = format!("http://{address}/v1/chat/completions");
+        self.send(hyper::Request::post(uri), headers, body.to_string()).await
+    }
+
+    pub async fn book(&self, host: usize, key: &str, body: &str) -> Option<Answer> {
+        let address = self.hosts[host].caller;
+        let uri = format!("http://{address}/v1/services/desk/bookings");
+        let headers = [("idempotency-key", key)];
+        self.send(hyper::Request::post(uri), &headers, body.to_owned()).await
+    }
+
+    pub async fn get(&self, address: net::SocketAddr, path: &str) -> Option<Answer> {
+        let request = hyper::Request::get(format!("http://{address}{path}"));
+        self.send(request, &[], String::new()).await
+    }
+
+    pub async fn send(
+        &self,
+        request: hyper::http::request::Builder,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Option<Answer> {
+        let mut request = request;
+        if !headers.iter().any(|(name, _)| *name == "authorization") {
+            request = request.header("authorization", format!("Bearer {KEY}"));
+        }
+        for (name, value) in headers.iter().filter(|(name, _)| *name != "model") {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Body::from(body)).expect("a request");
+        let answer = self.http.request(request).await.ok()?;
+        let (parts, mut incoming) = answer.into_parts();
+        let mut bytes = Vec::new();
+        let mut is_whole = true;
+        while let Some(frame) = incoming.frame().await {
+            match frame {
+                Ok(frame) => bytes.extend(frame.into_data().unwrap_or_default()),
+                Err(_) => is_whole = false,
+            }
+        }
+        let body = String::from_utf8_lossy(&bytes).into_owned();
+        Some(Answer { status: parts.status.as_u16(), headers: parts.headers, body, is_whole })
+    }
+
+    /// A count of one host's metrics.
+    pub async fn metric(&self, host: usize, name: &str) -> u64 {
+        let answer = self.get(self.hosts[host].admin, "/metrics").await;
+        let text = answer.map(|answer| answer.body).unwrap_or_default();
+        text.lines()
+            .find_map(|line| line.strip_prefix(&format!("toucanwall_{name} ")))
+            .and_then(|value| value.trim().parse().ok())
+            .unwrap_or(0)
+    }
+
+    pub fn signal(&self, host: usize, signal: &str) {
+        let pid = self.hosts[host].child.id().to_string();
+        let status = process::Command::new("kill").args([signal, &pid]).status();
+        assert!(status.is_ok_and(|status| status.success()), "kill {signal} {pid}");
+    }
+
+    async fn revision(&self) -> u64 {
+        let client = Client::new(self.platform_address);
+        configuration::load(&client)
+            .await
+            .map_or(0, |snapshot: replica::Snapshot| snapshot.revision)
+    }
+
+    fn write_settings(
+        &self,
+        index: usize,
+        peer: net::SocketAddr,
+        peers: &[net::SocketAddr],
+        rating: net::SocketAddr,
+    ) {
+        let keys = self.directory.path().join("keys");
+        let text = format!(
+            "data_centre: dc-{}\nregion: region\ncaller_address: {}\npeer_address: {peer}\nadmin_address: {}\n\
+             platform_address: {}\nrating_address: {rating}\npeers: {peers:?}\nkey_file: {}\n\
+             address_ttl_ms: 300\nshutdown_ms: 20000\nledger_shards: {SHARDS}\n",
+            index % 2,
+            free_address(),
+            free_address(),
+            self.platform_address,
+            keys.display(),
+        );
+        fs::write(self.settings(index), text).expect("a settings file");
+    }
+
+    fn settings(&self, index: usize) -> path::PathBuf {
+        self.directory.path().join(format!("host-{index}.yaml"))
+    }
+
+    fn spawn(&self, index: usize, peer: net::SocketAddr) -> HostProcess {
+        let settings = self.settings(index);
+        let text = fs::read_to_string(&settings).expect("a settings file");
+        let address = |field: &str| {
+            let line = text.lines().find_map(|line| line.strip_prefix(&format!("{field}: ")));
+            line.and_then(|value| value.parse().ok()).expect("an address")
+        };
+        let (caller, admin) = (address("caller_address"), address("admin_address"));
+        let log = fs::File::create(self.directory.path().join(format!("host-{index}.log")));
+        let child = process::Command::new(env!("CARGO_BIN_EXE_toucanwall"))
+            .arg("--settings")
+            .arg(&settings)
+            .stderr(log.expect("a log file"))
+            .spawn()
+            .expect("the daemon starts");
+        HostProcess { child, caller, peer, admin, settings }
+    }
+}
+
+impl HostProcess {
+    pub fn settings(&self) -> &path::Path {
+        &self.settings
+    }
+}
+
+/// Any free port on loopback.
+pub fn loopback() -> net::SocketAddr {
+    net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0))
+}
+
+/// An address that was free a moment ago.
+///
+/// Each has a loopback number of its own, so that a daemon that is restarted finds its port
+/// free whatever other tests do meanwhile.
+pub fn free_address() -> net::SocketAddr {
+    static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, atomic::Ordering::SeqCst);
+    let [_, _, high, low] = process::id().to_be_bytes();
+    let [_, _, _, second] = number.to_be_bytes();
+    let ip = net::Ipv4Addr::new(127, second.max(1), high, low.clamp(1, 254));
+    let listener = net::TcpListener::bind((ip, 0)).expect("a free port");
+    listener.local_addr().expect("an address")
+}
--- a/crates/document/src/check.rs
+++ b/crates/document/src/check.rs
@@ -20,10 +20,7 @@
 pub fn check(source: &str, text: &str) -> Result<document::Document, finding::Findings> {
     if text.len() > DOCUMENT_MAX_BYTES {
         let mut findings = finding::Findings::new(source);
-        let problem = format!(
-            "the text has {} bytes, more than {DOCUMENT_MAX_BYTES}",
-            text.len()
-        );
+        let problem = format!("the text has {} bytes, more than {DOCUMENT_MAX_BYTES}", text.len());
         let hint = "remove entries that are no longer used";
         findings.add_with_hint(finding::Place::default(), "", &problem, hint);
         return Err(findings);
@@ -42,11 +39,7 @@
     let mut findings = finding::Findings::new(source);
     let document = read_document(root, &mut findings);
     slips::find_slips(&document, root, &mut findings);
-    if findings.is_empty() {
-        Ok(document)
-    } else {
-        Err(findings)
-    }
+    if findings.is_empty() { Ok(document) } else { Err(findings) }
 }
 
 impl TryFrom<&node::Node> for document::Document {
@@ -190,19 +183,12 @@
 fn read_digest(fields: &mut fields::Fields<'_>, findings: &mut finding::Findings) -> Arc<str> {
     let place = fields.place();
     let digest = fields.text("key_sha256", findings);
-    let is_digest = digest.len() == 64
-        && digest
-            .bytes()
-            .all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+    let is_digest =
+        digest.len() == 64 && digest.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
     if !digest.is_empty() && !is_digest {
         let hint = "make one with `toucanctl key`; the key itself never stands in the document";
         let path = fields.path_of("key_sha256");
-        findings.add_with_hint(
-            place,
-            &path,
-            "expected 64 lower-case hexadecimal digits",
-            hint,
-        );
+        findings.add_with_hint(place, &path, "expected 64 lower-case hexadecimal digits", hint);
     }
     digest
 }
@@ -214,10 +200,7 @@
 ) -> Vec<Arc<str>> {
     let path = fields.path_of(name);
     let items = fields.list(name, findings);
-    items
-        .iter()
-        .map(|item| fields::text(item, &path, findings))
-        .collect()
+    items.iter().map(|item| fields::text(item, &path, findings)).collect()
 }
 
 fn read_name(
--- a/crates/document/src/document.rs
+++ b/crates/document/src/document.rs
@@ -101,9 +101,7 @@
     /// Finds the organisation whose key has this digest.
     #[must_use]
     pub fn organisation_by_key(&self, key_sha256: &str) -> Option<(&name::Name, &Organisation)> {
-        self.organisations
-            .iter()
-            .find(|(_, entry)| &*entry.key_sha256 == key_sha256)
+        self.organisations.iter().find(|(_, entry)| &*entry.key_sha256 == key_sha256)
     }
 
     /// The document as YAML text.
@@ -119,9 +117,7 @@
 impl Model {
     /// Versions that may get work.
     pub fn serving(&self) -> impl Iterator<Item = (&name::Name, &Version)> {
-        self.versions
-            .iter()
-            .filter(|(_, version)| !version.withdrawn)
+        self.versions.iter().filter(|(_, version)| !version.withdrawn)
     }
 }
 
@@ -130,10 +126,7 @@
     #[must_use]
     pub fn allows(&self, model: &name::Name, version: &name::Name) -> bool {
         self.models.contains(model)
-            && self
-                .versions
-                .get(model)
-                .is_none_or(|held| held.contains(version))
+            && self.versions.get(model).is_none_or(|held| held.contains(version))
     }
 }
 
@@ -141,8 +134,6 @@
     /// Whether a call of this path may not be repeated.
     #[must_use]
     pub fn is_non_idempotent(&self, path: &str) -> bool {
-        self.non_idempotent
-            .iter()
-            .any(|prefix| path.starts_with(&**prefix))
+        self.non_idempotent.iter().any(|prefix| path.starts_with(&**prefix))
     }
 }
--- a/crates/document/src/fields.rs
+++ b/crates/document/src/fields.rs
@@ -23,11 +23,7 @@
             node::Value::Map(entries) => entries,
             node::Value::Null => &[],
             _ => {
-                findings.add(
-                    node.place,
-                    path,
-                    &format!("expected a map, found {}", node.kind()),
-                );
+                findings.add(node.place, path, &format!("expected a map, found {}", node.kind()));
                 &[]
             }
         };
@@ -48,20 +44,13 @@
     /// The path of the field `name` from the root.
     #[must_use]
     pub fn path_of(&self, name: &str) -> String {
-        if self.path.is_empty() {
-            name.to_owned()
-        } else {
-            format!("{}.{name}", self.path)
-        }
+        if self.path.is_empty() { name.to_owned() } else { format!("{}.{name}", self.path) }
     }
 
     /// Takes a field that may be absent.
     pub fn optional(&mut self, name: &'static str) -> Option<&'a node::Node> {
         self.known.insert(name);
-        self.entries
-            .iter()
-            .find(|entry| &*entry.key == name)
-            .map(|entry| &entry.node)
+        self.entries.iter().find(|entry| &*entry.key == name).map(|entry| &entry.node)
     }
 
     /// Takes a field whose absence is a finding.
@@ -141,11 +130,7 @@
             None | Some((_, node::Value::Null)) => &[],
             Some((_, node::Value::List(items))) => items,
             Some((node, _)) => {
-                findings.add(
-                    node.place,
-                    &path,
-                    &format!("expected a list, found {}", node.kind()),
-                );
+                findings.add(node.place, &path, &format!("expected a list, found {}", node.kind()));
                 &[]
             }
         }
@@ -159,10 +144,7 @@
     ) -> Vec<Placed<name::Name>> {
         let path = self.path_of(name);
         let items = self.list(name, findings);
-        items
-            .iter()
-            .filter_map(|node| name_at(node, &path, findings))
-            .collect()
+        items.iter().filter_map(|node| name_at(node, &path, findings)).collect()
     }
 
     /// Takes a map from names to nodes, empty where the field is absent.
@@ -216,11 +198,7 @@
         node::Value::Text(text) if !text.is_empty() => Arc::clone(text),
         node::Value::Integer(number) => number.to_string().into(),
         _ => {
-            findings.add(
-                node.place,
-                path,
-                &format!("expected a text, found {}", node.kind()),
-            );
+            findings.add(node.place, path, &format!("expected a text, found {}", node.kind()));
             Arc::from("")
         }
     }
@@ -240,11 +218,8 @@
     match number {
         Some(number) if range.contains(&number) => number,
         _ => {
-            let problem = format!(
-                "expected a whole number from {} to {}",
-                range.start(),
-                range.end()
-            );
+            let problem =
+                format!("expected a whole number from {} to {}", range.start(), range.end());
             findings.add(node.place, path, &problem);
             *range.start()
         }
@@ -261,10 +236,7 @@
         return None;
     }
     match name::Name::try_from(text) {
-        Ok(value) => Some(Placed {
-            place: node.place,
-            value,
-        }),
+        Ok(value) => Some(Placed { place: node.place, value }),
         Err(error) => {
             findings.add(node.place, path, &error.to_string());
             None
@@ -282,11 +254,7 @@
     for entry in fields.entries {
         let path = fields.path_of(&entry.key);
         match name::Name::try_from(Arc::clone(&entry.key)) {
-            Ok(name) => named.push(NamedNode {
-                name,
-                path,
-                node: &entry.node,
-            }),
+            Ok(name) => named.push(NamedNode { name, path, node: &entry.node }),
             Err(error) => findings.add(entry.place, &path, &error.to_string()),
         }
     }
--- a/crates/document/src/finding.rs
+++ b/crates/document/src/finding.rs
@@ -42,10 +42,7 @@
     /// Starts an empty collection for the text called `source`.
     #[must_use]
     pub fn new(source: &str) -> Self {
-        Self {
-            source: source.to_owned(),
-            items: Vec::new(),
-        }
+        Self { source: source.to_owned(), items: Vec::new() }
     }
 
     /// Whether nothing was found.
@@ -78,11 +75,7 @@
             if index > 0 {
                 writeln!(f)?;
             }
-            write!(
-                f,
-                "{}:{}:{}: ",
-                self.source, finding.place.line, finding.place.column
-            )?;
+            write!(f, "{}:{}:{}: ", self.source, finding.place.line, finding.place.column)?;
             if !finding.field.is_empty() {
                 write!(f, "{}: ", finding.field)?;
             }
--- a/crates/document/src/name.rs
+++ b/crates/document/src/name.rs
@@ -43,9 +43,7 @@
         if fits && text.bytes().all(is_name_byte) {
             Ok(Self(text))
         } else {
-            Err(NameError {
-                text: text.chars().take(NAME_MAX_BYTES).collect(),
-            })
+            Err(NameError { text: text.chars().take(NAME_MAX_BYTES).collect() })
         }
     }
 }
--- a/crates/document/src/node.rs
+++ b/crates/document/src/node.rs
@@ -75,10 +75,7 @@
 
 impl From<serde_saphyr::Spanned<Value>> for Node {
     fn from(spanned: serde_saphyr::Spanned<Value>) -> Self {
-        Self {
-            place: place_of(&spanned.referenced),
-            value: spanned.value,
-        }
+        Self { place: place_of(&spanned.referenced), value: spanned.value }
     }
 }
 
@@ -96,20 +93,13 @@
                 Value::Map(map.into_iter().map(Entry::from).collect())
             }
         };
-        Self {
-            place: finding::Place::default(),
-            value,
-        }
+        Self { place: finding::Place::default(), value }
     }
 }
 
 impl From<(String, serde_json::Value)> for Entry {
     fn from((key, value): (String, serde_json::Value)) -> Self {
-        Self {
-            place: finding::Place::default(),
-            key: key.into(),
-            node: Node::from(value),
-        }
+        Self { place: finding::Place::default(), key: key.into(), node: Node::from(value) }
     }
 }
 
@@ -184,42 +174,27 @@
         let mut entries = Vec::new();
         while let Some(key) = map.next_key::<serde_saphyr::Spanned<String>>()? {
             let node = Node::from(map.next_value::<serde_saphyr::Spanned<Value>>()?);
-            entries.push(Entry {
-                place: place_of(&key.referenced),
-                key: key.value.into(),
-                node,
-            });
+            entries.push(Entry { place: place_of(&key.referenced), key: key.value.into(), node });
         }
         Ok(Value::Map(entries))
     }
 }
 
 fn json_number(number: &serde_json::Number) -> Value {
-    number.as_i64().map_or_else(
-        || Value::Float(number.as_f64().unwrap_or(f64::NAN)),
-        Value::Integer,
-    )
+    number
+        .as_i64()
+        .map_or_else(|| Value::Float(number.as_f64().unwrap_or(f64::NAN)), Value::Integer)
 }
 
 fn place_of(location: &serde_saphyr::Location) -> finding::Place {
-    finding::Place {
-        line: location.line(),
-        column: location.column(),
-    }
+    finding::Place { line: location.line(), column: location.column() }
 }
 
 fn syntax_findings(source: &str, error: &serde_saphyr::Error) -> finding::Findings {
     let mut findings = finding::Findings::new(source);
-    let place = error
-        .location()
-        .map_or_else(finding::Place::default, |at| place_of(&at));
+    let place = error.location().map_or_else(finding::Place::default, |at| place_of(&at));
     let text = error.to_string();
     let problem = text.lines().next().unwrap_or("the text cannot be parsed");
-    findings.add_with_hint(
-        place,
-        "",
-        problem,
-        "check indentation, quotes and repeated keys",
-    );
+    findings.add_with_hint(place, "", problem, "check indentation, quotes and repeated keys");
     findings
 }
--- a/crates/document/src/parts.rs
+++ b/crates/document/src/parts.rs
@@ -41,8 +41,5 @@
             entries.insert(name.to_owned(), entry);
         }
     }
-    check::check_node(
-        "parts",
-        &node::Node::from(serde_json::Value::Object(sections)),
-    )
+    check::check_node("parts", &node::Node::from(serde_json::Value::Object(sections)))
 }
--- a/crates/document/src/settings.rs
+++ b/crates/document/src/settings.rs
@@ -45,11 +45,7 @@
     fn try_from(root: &node::Node) -> Result<Self, Self::Error> {
         let mut findings = finding::Findings::new("settings");
         let settings = read(root, &mut findings);
-        if findings.is_empty() {
-            Ok(settings)
-        } else {
-            Err(findings)
-        }
+        if findings.is_empty() { Ok(settings) } else { Err(findings) }
     }
 }
 
@@ -115,9 +111,7 @@
     field: &'static str,
     findings: &mut finding::Findings,
 ) -> Option<net::SocketAddr> {
-    fields
-        .optional(field)
-        .map(|node| address(node, field, findings))
+    fields.optional(field).map(|node| address(node, field, findings))
 }
 
 fn read_addresses(
@@ -126,10 +120,7 @@
     findings: &mut finding::Findings,
 ) -> Vec<net::SocketAddr> {
     let items = fields.list(field, findings);
-    items
-        .iter()
-        .map(|node| address(node, field, findings))
-        .collect()
+    items.iter().map(|node| address(node, field, findings)).collect()
 }
 
 fn address(node: &node::Node, path: &str, findings: &mut finding::Findings) -> net::SocketAddr {
--- a/crates/document/src/slips.rs
+++ b/crates/document/src/slips.rs
@@ -13,11 +13,7 @@
     root: &node::Node,
     findings: &mut finding::Findings,
 ) {
-    let mut slips = Slips {
-        document,
-        root,
-        findings,
-    };
+    let mut slips = Slips { document, root, findings };
     for (name, model) in &document.models {
         slips.check_model(name, model);
     }
@@ -42,8 +38,7 @@
 
 impl Slips<'_> {
     fn add(&mut self, path: &str, problem: &str, hint: &str) {
-        self.findings
-            .add_with_hint(place_of(self.root, path), path, problem, hint);
+        self.findings.add_with_hint(place_of(self.root, path), path, problem, hint);
     }
 
     fn check_known<T>(
@@ -61,55 +56,29 @@
 
     fn check_model(&mut self, name: &name::Name, model: &document::Model) {
         let path = format!("models.{name}");
-        self.check_known(
-            &format!("{path}.pool"),
-            "pool",
-            &model.pool,
-            &self.document.pools,
-        );
+        self.check_known(&format!("{path}.pool"), "pool", &model.pool, &self.document.pools);
         for (version, entry) in &model.versions {
             if entry.withdrawn && entry.share_percent > 0 {
                 let path = format!("{path}.versions.{version}");
-                let problem = format!(
-                    "withdrawn, yet it has {} % of sessions",
-                    entry.share_percent
-                );
-                self.add(
-                    &path,
-                    &problem,
-                    "set its share to 0 and raise another version's",
-                );
+                let problem =
+                    format!("withdrawn, yet it has {} % of sessions", entry.share_percent);
+                self.add(&path, &problem, "set its share to 0 and raise another version's");
             }
         }
         if model.versions.is_empty() {
-            self.add(
-                &path,
-                "the model has no version",
-                "add one under `versions`",
-            );
+            self.add(&path, "the model has no version", "add one under `versions`");
         }
-        let sum: u64 = model
-            .serving()
-            .map(|(_, version)| version.share_percent)
-            .sum();
+        let sum: u64 = model.serving().map(|(_, version)| version.share_percent).sum();
         if model.serving().next().is_some() && sum != 100 {
             let problem = format!("the shares of its versions add up to {sum} %, not 100 %");
-            self.add(
-                &format!("{path}.versions"),
-                &problem,
-                "withdrawn versions do not count",
-            );
+            self.add(&format!("{path}.versions"), &problem, "withdrawn versions do not count");
         }
     }
 
     fn check_cascade(&mut self, name: &name::Name, cascade: &document::Cascade) {
         let path = format!("cascades.{name}.stages");
         if cascade.stages.is_empty() {
-            self.add(
-                &path,
-                "the cascade has no stage",
-                "list models from cheap to strong",
-            );
+            self.add(&path, "the cascade has no stage", "list models from cheap to strong");
         }
         for stage in &cascade.stages {
             self.check_known(&path, "model", stage, &self.document.models);
@@ -121,31 +90,18 @@
             .map(|model| model.cost_microcents_per_kilotoken)
             .collect();
         if !costs.is_sorted() {
-            self.add(
-                &path,
-                "a stage costs more than a later one",
-                "order stages by price",
-            );
+            self.add(&path, "a stage costs more than a later one", "order stages by price");
         }
         let distinct: collections::BTreeSet<_> = cascade.stages.iter().collect();
         if distinct.len() < cascade.stages.len() {
-            self.add(
-                &path,
-                "a model stands twice in the cascade",
-                "name each model once",
-            );
+            self.add(&path, "a model stands twice in the cascade", "name each model once");
         }
     }
 
     fn check_organisation(&mut self, name: &name::Name, organisation: &document::Organisation) {
         let path = format!("organisations.{name}");
         for model in &organisation.models {
-            self.check_known(
-                &format!("{path}.models"),
-                "model",
-                model,
-                &self.document.models,
-            );
+            self.check_known(&format!("{path}.models"), "model", model, &self.document.models);
             self.check_usable(&path, organisation, model);
         }
         for (model, versions) in &organisation.versions {
@@ -171,11 +127,7 @@
     ) {
         let path = format!("{path}.versions.{model}");
         if !organisation.models.contains(model) {
-            self.add(
-                &path,
-                "the organisation may not use this model",
-                "add it to `models`",
-            );
+            self.add(&path, "the organisation may not use this model", "add it to `models`");
         }
         if let Some(entry) = self.document.models.get(model) {
             for version in versions {
@@ -193,10 +145,7 @@
         let Some(entry) = self.document.models.get(model) else {
             return;
         };
-        if !entry
-            .serving()
-            .any(|(version, _)| organisation.allows(model, version))
-        {
+        if !entry.serving().any(|(version, _)| organisation.allows(model, version)) {
             let problem = format!("no version of `{model}` is left that it may use");
             let hint = "keep one version serving or take the model from the organisation first";
             self.add(&format!("{path}.models"), &problem, hint);
@@ -212,17 +161,9 @@
         let Some(entry) = self.document.cascades.get(cascade) else {
             return;
         };
-        if !entry
-            .stages
-            .iter()
-            .any(|stage| organisation.models.contains(stage))
-        {
+        if !entry.stages.iter().any(|stage| organisation.models.contains(stage)) {
             let problem = format!("the cascade `{cascade}` has no stage that it may use");
-            self.add(
-                path,
-                &problem,
-                "add one of the cascade's models to its `models`",
-            );
+            self.add(path, &problem, "add one of the cascade's models to its `models`");
         }
     }
 
@@ -245,8 +186,7 @@
     let mut rest = path;
     while let node::Value::Map(entries) = &node.value {
         let next = entries.iter().find(|entry| {
-            rest.strip_prefix(&*entry.key)
-                .is_some_and(|r| r.is_empty() || r.starts_with('.'))
+            rest.strip_prefix(&*entry.key).is_some_and(|r| r.is_empty() || r.starts_with('.'))
         });
         let Some(entry) = next else { break };
         place = entry.place;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -71,11 +71,9 @@
         let uri = self.object_uri(key);
         let request = hyper::Request::delete(uri).body(Body::default());
         match request {
-            Ok(request) => self
-                .http
-                .request(request)
-                .await
-                .is_ok_and(|answer| answer.status().is_success()),
+            Ok(request) => {
+                self.http.request(request).await.is_ok_and(|answer| answer.status().is_success())
+            }
             Err(_) => false,
         }
     }
@@ -87,29 +85,17 @@
                     hyper::Request::put(self.object_uri(&key)).header("if-none-match", "*");
                 self.write(request, &value).await
             }
-            platform::Call::Update {
-                key,
-                version,
-                value,
-            } => {
+            platform::Call::Update { key, version, value } => {
                 let request =
                     hyper::Request::put(self.object_uri(&key)).header("if-match", version);
                 self.write(request, &value).await
             }
             platform::Call::Read { key } => self.read(key).await,
-            platform::Call::List {
-                prefix,
-                after,
-                limit,
-            } => {
+            platform::Call::List { prefix, after, limit } => {
                 let path = format!("/v1/list?prefix={prefix}&after={after}&limit={limit}");
                 self.list(&path).await
             }
-            platform::Call::Watch {
-                prefix,
-                after,
-                wait_ms,
-            } => {
+            platform::Call::Watch { prefix, after, wait_ms } => {
                 let path = format!("/v1/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
                 self.list(&path).await
             }
@@ -126,9 +112,7 @@
         match answer.status() {
             hyper::StatusCode::OK => {
                 let written: wire::Written = serde_json::from_slice(&body_of(answer).await?)?;
-                Ok(platform::Reply::Written {
-                    version: written.version,
-                })
+                Ok(platform::Reply::Written { version: written.version })
             }
             hyper::StatusCode::PRECONDITION_FAILED => Ok(platform::Reply::Conflict),
             status => Err(CallError::Status(status)),
@@ -146,11 +130,7 @@
                     .and_then(|value| value.to_str().ok()?.trim_matches('"').parse().ok())
                     .ok_or(CallError::Body)?;
                 let value = body_of(answer).await?.as_ref().into();
-                Ok(platform::Reply::Found(platform::Object {
-                    key,
-                    version,
-                    value,
-                }))
+                Ok(platform::Reply::Found(platform::Object { key, version, value }))
             }
             hyper::StatusCode::NOT_FOUND => Ok(platform::Reply::Absent),
             status => Err(CallError::Status(status)),
@@ -165,15 +145,8 @@
             return Err(CallError::Status(answer.status()));
         }
         let listing: wire::Listing = serde_json::from_slice(&body_of(answer).await?)?;
-        let objects = listing
-            .objects
-            .into_iter()
-            .map(platform::Object::from)
-            .collect();
-        Ok(platform::Reply::Listing {
-            objects,
-            version: listing.version,
-        })
+        let objects = listing.objects.into_iter().map(platform::Object::from).collect();
+        Ok(platform::Reply::Listing { objects, version: listing.version })
     }
 
     fn object_uri(&self, key: &str) -> String {
