--- a/crates/platform/src/configuration.rs
+++ b/crates/platform/src/configuration.rs
@@ -79,9 +79,7 @@
             snapshot.parts.apply(&change.difference);
             if change.revision != snapshot.revision + 1 || snapshot.parts.digest() != change.digest
             {
-                return Err(LoadError::Malformed {
-                    revision: change.revision,
-                });
+                return Err(LoadError::Malformed { revision: change.revision });
             }
             snapshot.revision = change.revision;
         }
@@ -110,9 +108,8 @@
     objects
         .iter()
         .map(|object| {
-            serde_json::from_slice(&object.value).map_err(|_ignored| LoadError::Malformed {
-                revision: revision + 1,
-            })
+            serde_json::from_slice(&object.value)
+                .map_err(|_ignored| LoadError::Malformed { revision: revision + 1 })
         })
         .collect()
 }
@@ -150,10 +147,7 @@
     let key = replica::log_key(change.revision);
     let value: Arc<[u8]> = serde_json::to_vec(change).unwrap_or_default().into();
     loop {
-        let call = platform::Call::Create {
-            key: key.clone(),
-            value: Arc::clone(&value),
-        };
+        let call = platform::Call::Create { key: key.clone(), value: Arc::clone(&value) };
         match client.call(call).await {
             platform::Reply::Written { .. } => return Outcome::Accepted(change.revision),
             platform::Reply::Conflict => {
@@ -173,9 +167,7 @@
     key: &str,
     change: &replica::Change,
 ) -> Option<Outcome> {
-    let call = platform::Call::Read {
-        key: key.to_owned(),
-    };
+    let call = platform::Call::Read { key: key.to_owned() };
     let platform::Reply::Found(object) = client.call(call).await else {
         return None;
     };
@@ -190,10 +182,7 @@
 /// Writes a snapshot; a failure costs starting hosts a longer read, no more.
 async fn write_snapshot(client: &client::Client, revision: u64, parts: &parts::Parts) {
     let key = replica::SNAPSHOT_KEY.to_owned();
-    let snapshot = replica::Snapshot {
-        revision,
-        parts: parts.clone(),
-    };
+    let snapshot = replica::Snapshot { revision, parts: parts.clone() };
     let value: Arc<[u8]> = serde_json::to_vec(&snapshot).unwrap_or_default().into();
     let call = match client.call(platform::Call::Read { key: key.clone() }).await {
         platform::Reply::Found(object) => {
@@ -202,11 +191,7 @@
             if known.revision >= revision {
                 return;
             }
-            platform::Call::Update {
-                key,
-                version: object.version,
-                value,
-            }
+            platform::Call::Update { key, version: object.version, value }
         }
         platform::Reply::Absent => platform::Call::Create { key, value },
         _ => return,
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -38,10 +38,6 @@
 
 impl From<ListedObject> for platform::Object {
     fn from(listed: ListedObject) -> Self {
-        Self {
-            key: listed.key,
-            version: listed.version,
-            value: listed.value.into(),
-        }
+        Self { key: listed.key, version: listed.version, value: listed.value.into() }
     }
 }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -60,6 +60,17 @@
     pub excluded: &'a collections::BTreeSet<net::SocketAddr>,
 }
 
+/// What the end of a request says about its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Nothing speaks against it.
+    Fine,
+    /// It failed the request.
+    Failed,
+    /// It takes no connections.
+    Unreachable,
+}
+
 /// The outcome of a choice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Choice {
@@ -94,11 +105,7 @@
     /// Removes a server from the list.
     pub fn remove(&mut self, address: net::SocketAddr) {
         self.servers.remove(&address);
-        if self
-            .health
-            .get(&address)
-            .is_some_and(|health| health.in_flight == 0)
-        {
+        if self.health.get(&address).is_some_and(|health| health.in_flight == 0) {
             self.health.remove(&address);
         }
     }
@@ -111,9 +118,7 @@
     /// Whether a server may be given new work.
     #[must_use]
     pub fn takes_work(&self, address: net::SocketAddr) -> bool {
-        self.servers
-            .get(&address)
-            .is_some_and(|server| !server.is_leaving)
+        self.servers.get(&address).is_some_and(|server| !server.is_leaving)
     }
 
     /// Chooses a server: the warm one if it is not much busier, else the better of two.
@@ -134,9 +139,7 @@
             return Choice::Full;
         }
         let better = self.better_of_two(&open, now_ms, rng);
-        let chosen = self
-            .warm(wanted.prefix, &open, better, now_ms)
-            .unwrap_or(better);
+        let chosen = self.warm(wanted.prefix, &open, better, now_ms).unwrap_or(better);
         if let Some(prefix) = wanted.prefix {
             self.remember(prefix, chosen);
         }
@@ -149,15 +152,18 @@
     }
 
     /// Notes that a request at a server has ended.
-    pub fn end(&mut self, address: net::SocketAddr, has_failed: bool, now_ms: u64) {
+    pub fn end(&mut self, address: net::SocketAddr, outcome: Outcome, now_ms: u64) {
         let health = self.health.entry(address).or_default();
         health.in_flight = health.in_flight.saturating_sub(1);
-        if !has_failed {
-            health.failures = 0;
-            health.ejections = 0;
-            return;
+        match outcome {
+            Outcome::Fine => {
+                health.failures = 0;
+                health.ejections = 0;
+                return;
+            }
+            Outcome::Failed => health.failures += 1,
+            Outcome::Unreachable => health.failures = FAILURES_TO_EJECT,
         }
-        health.failures += 1;
         if health.failures >= FAILURES_TO_EJECT && now_ms >= health.ejected_until_ms {
             let pause_ms = EJECT_MS.saturating_mul(1 << health.ejections.min(5));
             health.ejected_until_ms = now_ms + pause_ms.min(EJECT_MAX_MS);
@@ -180,9 +186,7 @@
         let Some(health) = self.health.get(&address) else {
             return 0;
         };
-        let is_recent = health
-            .reported_ms
-            .is_some_and(|at| now_ms < at + REPORT_MAX_AGE_MS);
+        let is_recent = health.reported_ms.is_some_and(|at| now_ms < at + REPORT_MAX_AGE_MS);
         if !is_recent {
             return health.in_flight;
         }
@@ -212,15 +216,9 @@
     /// Leaves out servers that were set aside, unless that would take too many.
     fn without_ejected(&self, able: &[net::SocketAddr], now_ms: u64) -> Vec<net::SocketAddr> {
         let is_ejected = |address: &net::SocketAddr| {
-            self.health
-                .get(address)
-                .is_some_and(|health| now_ms < health.ejected_until_ms)
+            self.health.get(address).is_some_and(|health| now_ms < health.ejected_until_ms)
         };
-        let kept: Vec<_> = able
-            .iter()
-            .copied()
-            .filter(|address| !is_ejected(address))
-            .collect();
+        let kept: Vec<_> = able.iter().copied().filter(|address| !is_ejected(address)).collect();
         if kept.len() * 100 < able.len() * (100 - EJECTED_MAX_PERCENT) {
             able.to_vec()
         } else {
@@ -239,11 +237,7 @@
     {
         let first = open[rng.random_range(0..open.len())];
         let second = open[rng.random_range(0..open.len())];
-        if self.load(second, now_ms) < self.load(first, now_ms) {
-            second
-        } else {
-            first
-        }
+        if self.load(second, now_ms) < self.load(first, now_ms) { second } else { first }
     }
 
     fn warm(
--- a/crates/policy/src/cascade.rs
+++ b/crates/policy/src/cascade.rs
@@ -106,11 +106,7 @@
     /// How often a stage passes; optimistic until enough ratings are in.
     #[must_use]
     pub fn pass_rate(&self, kind: &Kind, stage: usize) -> f64 {
-        let rate = self
-            .rates
-            .get(&(kind.clone(), stage))
-            .copied()
-            .unwrap_or_default();
+        let rate = self.rates.get(&(kind.clone(), stage)).copied().unwrap_or_default();
         let prior = (RATINGS_MIN - rate.rated).max(0.0);
         (rate.passed + prior) / (rate.rated + prior).max(1.0)
     }
@@ -125,15 +121,8 @@
 ) -> Vec<name::Name> {
     let is_usable = |model_name: &name::Name| {
         document.models.get(model_name).is_some_and(|model| {
-            model
-                .serving()
-                .any(|(version, _)| organisation.allows(model_name, version))
+            model.serving().any(|(version, _)| organisation.allows(model_name, version))
         })
     };
-    cascade
-        .stages
-        .iter()
-        .filter(|stage| is_usable(stage))
-        .cloned()
-        .collect()
+    cascade.stages.iter().filter(|stage| is_usable(stage)).cloned().collect()
 }
--- a/crates/policy/src/eligibility.rs
+++ b/crates/policy/src/eligibility.rs
@@ -29,19 +29,12 @@
     let Some(organisation) = document.organisations.get(organisation) else {
         return Eligibility::UnknownOrganisation;
     };
-    let known = document
-        .models
-        .get(model)
-        .and_then(|model| model.versions.get(version));
+    let known = document.models.get(model).and_then(|model| model.versions.get(version));
     let Some(entry) = known else {
         return Eligibility::UnknownVersion;
     };
     if !organisation.allows(model, version) {
         return Eligibility::NotAllowed;
     }
-    if entry.withdrawn {
-        Eligibility::Withdrawn
-    } else {
-        Eligibility::Allowed
-    }
+    if entry.withdrawn { Eligibility::Withdrawn } else { Eligibility::Allowed }
 }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -55,10 +55,10 @@
         let hosts = hosts.max(1);
         // One whole request must always fit, however small this host's part is.
         let full = (requests_per_s * BURST_MS / hosts).max(MILLITOKENS);
-        let bucket = self.buckets.entry(organisation.clone()).or_insert(Bucket {
-            millitokens: full,
-            at_ms: now_ms,
-        });
+        let bucket = self
+            .buckets
+            .entry(organisation.clone())
+            .or_insert(Bucket { millitokens: full, at_ms: now_ms });
         let elapsed_ms = now_ms.saturating_sub(bucket.at_ms);
         let gained = elapsed_ms * requests_per_s / hosts;
         if gained > 0 {
@@ -70,8 +70,6 @@
             return Verdict::Admit;
         }
         let lacking = MILLITOKENS - bucket.millitokens;
-        Verdict::Refuse {
-            retry_after_ms: (lacking * hosts).div_ceil(requests_per_s.max(1)),
-        }
+        Verdict::Refuse { retry_after_ms: (lacking * hosts).div_ceil(requests_per_s.max(1)) }
     }
 }
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -73,10 +73,8 @@
 
     /// Notes that a content ran to its end.
     pub fn clear(&mut self, content: u64) {
-        let is_convicted = self
-            .records
-            .get(&content)
-            .is_some_and(|r| r.crashed.len() >= CRASHES_TO_CONVICT);
+        let is_convicted =
+            self.records.get(&content).is_some_and(|r| r.crashed.len() >= CRASHES_TO_CONVICT);
         if !is_convicted {
             self.records.remove(&content);
         }
@@ -109,8 +107,7 @@
         if self.records.len() < CONTENTS_MAX || self.records.contains_key(&content) {
             return;
         }
-        self.records
-            .retain(|_, record| now_ms < record.seen_ms + VERDICT_MS);
+        self.records.retain(|_, record| now_ms < record.seen_ms + VERDICT_MS);
         if self.records.len() >= CONTENTS_MAX {
             self.records.pop_first();
         }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -17,9 +17,7 @@
     /// A fresh budget.
     #[must_use]
     pub fn new() -> Self {
-        Self {
-            left_milli: RESERVE_MILLI,
-        }
+        Self { left_milli: RESERVE_MILLI }
     }
 
     /// Notes a first attempt.
--- a/crates/standin/examples/callers.rs
+++ b/crates/standin/examples/callers.rs
@@ -67,59 +67,28 @@
         "request", "status", "ran on", "first ms", "all ms"
     );
     let (first, second) = (hosts[0], hosts[1 % hosts.len()]);
-    let chat = chat(
-        client,
-        arguments,
-        first,
-        "which knot for a wet line?",
-        24,
-        None,
-    )
-    .await?;
+    let chat = chat(client, arguments, first, "which knot for a wet line?", 24, None).await?;
     row("a short chat", &chat, "met the target on the cheap model");
     let token = chat.session.clone();
     let again = self::chat(client, arguments, second, "and for a thin one?", 24, token).await?;
     row("the same session, another host", &again, "same version");
-    let hard = self::chat(
-        client,
-        arguments,
-        first,
-        "a hard question on line tension",
-        24,
-        None,
-    )
-    .await?;
+    let hard =
+        self::chat(client, arguments, first, "a hard question on line tension", 24, None).await?;
     row("a hard chat", &hard, "replaced by the strong model");
-    let draft = self::chat(
-        client,
-        arguments,
-        second,
-        "hard: draft the season rulebook",
-        400,
-        None,
-    )
-    .await?;
-    let note = format!(
-        "whole: {} events and the end mark",
-        draft.body.matches("data: {").count()
-    );
+    let draft =
+        self::chat(client, arguments, second, "hard: draft the season rulebook", 400, None).await?;
+    let note = format!("whole: {} events and the end mark", draft.body.matches("data: {").count());
     row("a long draft", &draft, &note);
     let key = format!("tour-{}", std::process::id());
     let booking = call(client, arguments, first, &key).await?;
     row("a call that may not be repeated", &booking, &booking.body);
     tokio::time::sleep(time::Duration::from_millis(300)).await;
     let doubled = call(client, arguments, second, &key).await?;
-    let note = if doubled.is_replayed {
-        "the first answer, not run again"
-    } else {
-        &doubled.body
-    };
+    let note = if doubled.is_replayed { "the first answer, not run again" } else { &doubled.body };
     row("the same call, another host", &doubled, note);
     let key = format!("{key}-at-once");
-    let (left, right) = tokio::join!(
-        call(client, arguments, first, &key),
-        call(client, arguments, second, &key)
-    );
+    let (left, right) =
+        tokio::join!(call(client, arguments, first, &key), call(client, arguments, second, &key));
     for answer in [left?, right?] {
         row("one call at two hosts at once", &answer, &answer.body);
     }
@@ -143,11 +112,8 @@
         let prompt = format!("knot number {number}?");
         let slice = started.elapsed().as_millis() / SLICE_MS;
         let answer = chat(client, arguments, host, &prompt, 2, None).await?;
-        let ran = if answer.status == 200 {
-            answer.item
-        } else {
-            format!("status {}", answer.status)
-        };
+        let ran =
+            if answer.status == 200 { answer.item } else { format!("status {}", answer.status) };
         *counts.entry(slice).or_default().entry(ran).or_default() += 1;
         number += 1;
     }
@@ -166,9 +132,7 @@
 }
 
 async fn addresses(client: &Client, host: net::SocketAddr) -> Result<Vec<net::SocketAddr>, Error> {
-    let answer = client
-        .get(format!("http://{host}/v1/addresses").parse()?)
-        .await?;
+    let answer = client.get(format!("http://{host}/v1/addresses").parse()?).await?;
     let bytes = answer.into_body().collect().await?.to_bytes();
     let json: serde_json::Value = serde_json::from_slice(&bytes)?;
     Ok(serde_json::from_value(json["addresses"].clone())?)
@@ -214,11 +178,7 @@
     let answer = client.request(request).await?;
     let first_byte_ms = started.elapsed().as_millis();
     let text = |name: &str| {
-        answer
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_owned)
+        answer.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
     };
     let (item, session) = (text("x-toucanwall-item"), text("x-toucanwall-session"));
     let is_replayed = text("x-toucanwall-replayed").is_some();
--- a/crates/standin/examples/standins.rs
+++ b/crates/standin/examples/standins.rs
@@ -49,21 +49,12 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let mut fields = text.split(',');
         let address = fields.next().unwrap_or_default();
-        let address = address
-            .parse()
-            .map_err(|_ignored| format!("`{address}` is not an address"))?;
+        let address =
+            address.parse().map_err(|_ignored| format!("`{address}` is not an address"))?;
         let pool = fields.next().ok_or("the pool is missing")?.to_owned();
         let loaded = fields.next().unwrap_or_default();
-        let loaded = loaded
-            .split('+')
-            .filter(|item| !item.is_empty())
-            .map(str::to_owned)
-            .collect();
-        Ok(Self {
-            address,
-            pool,
-            loaded,
-        })
+        let loaded = loaded.split('+').filter(|item| !item.is_empty()).map(str::to_owned).collect();
+        Ok(Self { address, pool, loaded })
     }
 }
 
@@ -71,10 +62,8 @@
 async fn main() -> std::io::Result<()> {
     let arguments = Arguments::parse();
     let platform = platform::Platform::new();
-    let mut running = vec![
-        platform.serve(arguments.platform).await?,
-        rating::serve(arguments.rating).await?,
-    ];
+    let mut running =
+        vec![platform.serve(arguments.platform).await?, rating::serve(arguments.rating).await?];
     for place in &arguments.engines {
         let engine = engine::Engine::new(engine::Behaviour {
             loaded: place.loaded.clone(),
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -75,10 +75,7 @@
 
     /// Changes the behaviour from the next request on.
     pub fn set_behaviour(&self, behaviour: Behaviour) {
-        *self
-            .behaviour
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = behaviour;
+        *self.behaviour.lock().unwrap_or_else(PoisonError::into_inner) = behaviour;
     }
 
     /// Whether a poison request took it down.
@@ -90,18 +87,11 @@
     /// Requests run so far, by `model@version`.
     #[must_use]
     pub fn runs(&self) -> collections::BTreeMap<String, u64> {
-        self.record
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .runs
-            .clone()
+        self.record.lock().unwrap_or_else(PoisonError::into_inner).runs.clone()
     }
 
     fn behaviour(&self) -> Behaviour {
-        self.behaviour
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.behaviour.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     fn note_run(&self, item: &str) {
@@ -126,10 +116,7 @@
     web::Data(engine): web::Data<&Engine>,
 ) -> poem::Response {
     let engine = engine.clone();
-    let item = request
-        .header("x-toucanwall-item")
-        .unwrap_or_default()
-        .to_owned();
+    let item = request.header("x-toucanwall-item").unwrap_or_default().to_owned();
     let behaviour = engine.behaviour();
     if engine.is_down() || !behaviour.loaded.contains(&item) {
         return poem::Response::builder()
@@ -140,10 +127,8 @@
     engine.note_run(&item);
     let json: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
     let prompt = json["messages"].to_string();
-    let resume_from = request
-        .header("x-resume-from")
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
+    let resume_from =
+        request.header("x-resume-from").and_then(|text| text.parse().ok()).unwrap_or(0);
     let script = Script {
         item,
         tokens: json["max_tokens"].as_u64().unwrap_or(TOKENS_DEFAULT),
@@ -180,10 +165,7 @@
 impl Script {
     fn token(&self, index: u64) -> String {
         let seed = self.prompt_hash.wrapping_add(index);
-        format!(
-            "t{index}-{:04x} ",
-            xxhash_rust::xxh3::xxh3_64_with_seed(&[], seed) & 0xffff
-        )
+        format!("t{index}-{:04x} ", xxhash_rust::xxh3::xxh3_64_with_seed(&[], seed) & 0xffff)
     }
 
     fn event(&self, index: u64) -> String {
@@ -201,11 +183,7 @@
     let events = futures_util::stream::iter(first..=last).then(move |index| {
         let engine = engine.clone();
         let behaviour = behaviour.clone();
-        let text = if index < last {
-            script.event(index)
-        } else {
-            "data: [DONE]\n\n".to_owned()
-        };
+        let text = if index < last { script.event(index) } else { "data: [DONE]\n\n".to_owned() };
         let is_poison = script.is_poison && index == first + 1;
         // The stream owns the guard, so that the load falls when it ends or is dropped.
         let _ = &guard;
@@ -223,6 +201,8 @@
             }
             if is_poison {
                 engine.is_down.store(true, atomic::Ordering::SeqCst);
+                // The listener closes before the streams break off, as when a process ends.
+                tokio::time::sleep(time::Duration::from_millis(server::DOWN_CHECK_MS * 4)).await;
             }
             if engine.is_down() || behaviour.cut_after == Some(index) {
                 return Err(std::io::Error::from(std::io::ErrorKind::ConnectionReset));
@@ -240,9 +220,7 @@
 ) -> poem::Response {
     let wait_ms = behaviour.first_token_ms + behaviour.between_tokens_ms * script.tokens;
     tokio::time::sleep(time::Duration::from_millis(wait_ms)).await;
-    let text: String = (0..script.tokens)
-        .map(|index| script.token(index))
-        .collect();
+    let text: String = (0..script.tokens).map(|index| script.token(index)).collect();
     let json = serde_json::json!({
         "model": script.item,
         "choices": [{ "index": 0, "message": { "role": "assistant", "content": text } }],
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -83,10 +83,7 @@
     #[must_use]
     pub fn new() -> Self {
         let (changed, _) = tokio::sync::watch::channel(0);
-        Self {
-            store: Arc::default(),
-            changed: Arc::new(changed),
-        }
+        Self { store: Arc::default(), changed: Arc::new(changed) }
     }
 
     /// Serves the store at an address.
@@ -95,10 +92,7 @@
     /// The address is in use or not one of this machine.
     pub async fn serve(&self, address: net::SocketAddr) -> std::io::Result<server::Running> {
         let routes = poem::Route::new()
-            .at(
-                "/v1/objects/*key",
-                poem::get(read).put(write).delete(delete),
-            )
+            .at("/v1/objects/*key", poem::get(read).put(write).delete(delete))
             .at("/v1/list", poem::get(list))
             .at("/v1/watch", poem::get(watch))
             .at("/switch", poem::post(switch))
@@ -211,9 +205,9 @@
     }
     platform.lock().calls.reads += 1;
     match platform.lock().objects.get(&key) {
-        Some((version, value)) => poem::Response::builder()
-            .header("etag", format!("\"{version}\""))
-            .body(value.clone()),
+        Some((version, value)) => {
+            poem::Response::builder().header("etag", format!("\"{version}\"")).body(value.clone())
+        }
         None => status(poem::http::StatusCode::NOT_FOUND),
     }
 }
@@ -286,16 +280,11 @@
     let end = tokio::time::Instant::now() + time::Duration::from_millis(query.wait_ms);
     loop {
         let listing = platform.listing(&query.prefix, usize::MAX, |_, v| v > query.after);
-        let has_change = listing["objects"]
-            .as_array()
-            .is_some_and(|found| !found.is_empty());
+        let has_change = listing["objects"].as_array().is_some_and(|found| !found.is_empty());
         if has_change {
             return platform.enter().await.unwrap_or_else(|| json(&listing));
         }
-        if tokio::time::timeout_at(end, changed.changed())
-            .await
-            .is_err()
-        {
+        if tokio::time::timeout_at(end, changed.changed()).await.is_err() {
             return platform.enter().await.unwrap_or_else(|| json(&listing));
         }
     }
@@ -314,9 +303,7 @@
 }
 
 fn json(value: &serde_json::Value) -> poem::Response {
-    poem::Response::builder()
-        .content_type("application/json")
-        .body(value.to_string())
+    poem::Response::builder().content_type("application/json").body(value.to_string())
 }
 
 fn status(code: poem::http::StatusCode) -> poem::Response {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -3,12 +3,16 @@
 use std::net;
 use std::sync::Arc;
 use std::sync::atomic;
+use std::time;
 
 use poem::EndpointExt as _;
 use poem::IntoEndpoint as _;
 use poem::listener::Acceptor as _;
 use poem::listener::Listener as _;
 
+/// Time between two looks whether a server went down, in milliseconds.
+pub const DOWN_CHECK_MS: u64 = 5;
+
 /// A running server; dropping it stops its listener.
 #[derive(Debug)]
 pub struct Running {
@@ -45,25 +49,24 @@
     routes: poem::Route,
     is_down: Arc<atomic::AtomicBool>,
 ) -> std::io::Result<Running> {
-    let acceptor = poem::listener::TcpListener::bind(address)
-        .into_acceptor()
-        .await?;
-    let address = *acceptor.local_addr()[0]
-        .as_socket_addr()
-        .expect("a TCP listener has one");
+    let acceptor = poem::listener::TcpListener::bind(address).into_acceptor().await?;
+    let address = *acceptor.local_addr()[0].as_socket_addr().expect("a TCP listener has one");
     let flag = Arc::clone(&is_down);
     let endpoint = routes.into_endpoint().boxed();
     let task = tokio::spawn(async move {
-        // A stand-in that cannot serve shows in the test that calls it.
-        drop(
-            poem::Server::new_with_acceptor(acceptor)
-                .run(endpoint)
-                .await,
-        );
+        let server = poem::Server::new_with_acceptor(acceptor).run(endpoint);
+        // A server that goes down takes no new connections; one that cannot serve shows in
+        // the test that calls it.
+        tokio::select! {
+            result = server => drop(result),
+            () = wait_until_down(&is_down) => {}
+        }
     });
-    Ok(Running {
-        address,
-        is_down: flag,
-        task,
-    })
+    Ok(Running { address, is_down: flag, task })
+}
+
+async fn wait_until_down(is_down: &atomic::AtomicBool) {
+    while !is_down.load(atomic::Ordering::SeqCst) {
+        tokio::time::sleep(time::Duration::from_millis(DOWN_CHECK_MS)).await;
+    }
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -40,10 +40,7 @@
     /// How often each body of a writing call took effect.
     #[must_use]
     pub fn effects(&self) -> collections::BTreeMap<String, u64> {
-        self.effects
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.effects.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Serves the service at an address.
@@ -78,10 +75,7 @@
     web::Data(service): web::Data<&Service>,
 ) -> poem::Response {
     let number = {
-        let mut counts = service
-            .effects
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut counts = service.effects.lock().unwrap_or_else(PoisonError::into_inner);
         *counts.entry(format!("{path} {body}")).or_default() += 1;
         counts.values().sum::<u64>()
     };
@@ -97,7 +91,5 @@
         return poem::Response::builder().body(poem::Body::from_bytes_stream(broken));
     }
     let json = serde_json::json!({ "path": path, "number": number });
-    poem::Response::builder()
-        .content_type("application/json")
-        .body(json.to_string())
+    poem::Response::builder().content_type("application/json").body(json.to_string())
 }
