Count a copy as kept only by its term, and check unbilled answers strictly

The check of 'each request has a bill' let any two lost hosts excuse an unbilled answer. It now asks that every host which held a copy was lost within 45 s, or that the host had counted answers without a copy. Found by it and mended: notes of a host that counted as lost already were never billed; a late word to forget wiped notes of a later term; answers with no other host alive did not count as uncopied. Ruled out: the owner's log.

--- a/crates/coordination/src/ledger/backup.rs
+++ b/crates/coordination/src/ledger/backup.rs
@@ -18,7 +18,9 @@
 #[derive(Debug, Default)]
 pub struct Notes {
     backup: Option<identity::HostId>,
-    former: collections::BTreeSet<identity::HostId>,
+    term: u64,
+    /// Former backups that may still have notes, with the term of these.
+    former: collections::BTreeMap<identity::HostId, u64>,
     next_forget_ms: u64,
     open: collections::BTreeMap<u64, Open>,
     queue: Vec<message::Note>,
@@ -30,7 +32,18 @@
 struct Open {
     organisation: Arc<str>,
     bill: Option<entry::Bill>,
-    is_kept: bool,
+    kept_by: collections::BTreeSet<identity::HostId>,
+}
+
+/// Whether another host has a copy of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Copy {
+    /// It has, or none is needed any more.
+    Kept,
+    /// The backup has not said so yet.
+    Awaited,
+    /// There is no other host to keep one.
+    Nowhere,
 }
 
 #[derive(Debug)]
@@ -52,13 +65,13 @@
         if self.backup == backup {
             return;
         }
-        self.former.extend(self.backup);
+        self.former.extend(self.backup.map(|host| (host, self.term)));
         self.backup = backup;
-        self.former.retain(|host| Some(*host) != backup);
+        self.term += 1;
+        self.former.retain(|host, _| Some(*host) != backup);
         self.in_flight = None;
         self.queue.clear();
-        for (number, open) in &mut self.open {
-            open.is_kept = false;
+        for (number, open) in &self.open {
             let organisation = Arc::clone(&open.organisation);
             self.queue.push(message::Note::Opened { number: *number, organisation });
             self.queue.extend(open.bill.clone().map(message::Note::Billed));
@@ -71,11 +84,25 @@
         self.backup
     }
 
+    /// The hosts that hold a copy of each request whose bill is not durable, lost ones too.
+    ///
+    /// Once the present backup has a copy, former ones may have forgotten theirs.
+    pub fn keepers(&self) -> impl Iterator<Item = (u64, collections::BTreeSet<identity::HostId>)> {
+        self.open.iter().map(|(number, open)| {
+            let present = self.backup.filter(|backup| open.kept_by.contains(backup));
+            let hosts = present.map_or_else(|| open.kept_by.clone(), |host| [host].into());
+            (*number, hosts)
+        })
+    }
+
     /// Notes that a request was admitted.
     pub fn open(&mut self, number: u64, organisation: Arc<str>) {
         let note = message::Note::Opened { number, organisation: Arc::clone(&organisation) };
         self.queue.push(note);
-        self.open.insert(number, Open { organisation, bill: None, is_kept: false });
+        self.open.insert(
+            number,
+            Open { organisation, bill: None, kept_by: collections::BTreeSet::new() },
+        );
     }
 
     /// Notes the bill of a request.
@@ -93,10 +120,19 @@
         }
     }
 
-    /// Whether a request is known to the backup, or there is no backup to know it.
+    /// Whether another host has a copy of a request.
     #[must_use]
-    pub fn is_kept(&self, number: u64) -> bool {
-        self.backup.is_none() || self.open.get(&number).is_none_or(|open| open.is_kept)
+    pub fn copy_of(&self, number: u64) -> Copy {
+        let Some(open) = self.open.get(&number) else { return Copy::Kept };
+        let is_live =
+            |host: &identity::HostId| self.backup == Some(*host) || self.former.contains_key(host);
+        if open.kept_by.iter().any(is_live) {
+            Copy::Kept
+        } else if self.backup.is_some() {
+            Copy::Awaited
+        } else {
+            Copy::Nowhere
+        }
     }
 
     /// Number of requests that are open or whose bill is not durable.
@@ -121,28 +157,42 @@
         in_flight.next_send_ms = now_ms + RESEND_MS;
         let sequence = in_flight.sequence;
         let notes = in_flight.notes.clone();
-        Some((to, message::Message::Notes { sequence, notes }))
+        Some((to, message::Message::Notes { term: self.term, sequence, notes }))
     }
 
     /// Former backups that may forget, once the present one keeps everything.
     pub fn due_to_forget(&mut self, now_ms: u64) -> Vec<(identity::HostId, message::Message)> {
-        let is_all_kept = self.backup.is_some()
-            && self.in_flight.is_none()
-            && self.queue.is_empty()
-            && self.open.values().all(|open| open.is_kept);
-        if self.former.is_empty() || !is_all_kept || now_ms < self.next_forget_ms {
+        let Some(backup) = self.backup else { return Vec::new() };
+        if self.former.is_empty() || now_ms < self.next_forget_ms {
+            return Vec::new();
+        }
+        let has_all_told = self.in_flight.is_none() && self.queue.is_empty();
+        if !has_all_told || !self.open.values().all(|open| open.kept_by.contains(&backup)) {
             return Vec::new();
         }
         self.next_forget_ms = now_ms + RESEND_MS;
-        let message = message::Message::Forget { sequence: self.sequence };
-        self.former.iter().map(|host| (*host, message.clone())).collect()
+        self.former
+            .iter()
+            .map(|(host, term)| (*host, message::Message::Forget { term: *term }))
+            .collect()
     }
 
-    /// Notes that a former backup has forgotten, or is gone.
-    pub fn forgotten(&mut self, host: identity::HostId) {
+    /// Notes that a former backup is lost, with all that it kept.
+    pub fn lose(&mut self, host: identity::HostId) {
         self.former.remove(&host);
     }
 
+    /// Notes that a former backup has forgotten.
+    pub fn forgotten(&mut self, host: identity::HostId, term: u64) {
+        if self.former.get(&host) != Some(&term) {
+            return;
+        }
+        self.former.remove(&host);
+        for open in self.open.values_mut() {
+            open.kept_by.remove(&host);
+        }
+    }
+
     /// Takes the backup's word that notes are kept; returns the requests now known there.
     pub fn kept(&mut self, from: identity::HostId, sequence: u64) -> Vec<u64> {
         let is_answer = self.in_flight.as_ref().is_some_and(|f| f.sequence == sequence);
@@ -155,7 +205,7 @@
             if let message::Note::Opened { number, .. } = note
                 && let Some(open) = self.open.get_mut(&number)
             {
-                open.is_kept = true;
+                open.kept_by.insert(from);
                 numbers.push(number);
             }
         }
@@ -173,6 +223,7 @@
 
 #[derive(Debug, Default)]
 struct KeptHost {
+    term: u64,
     sequence: u64,
     requests: collections::BTreeMap<u64, Kept>,
 }
@@ -206,6 +257,7 @@
     pub fn keep(
         &mut self,
         from: identity::HostId,
+        term: u64,
         sequence: u64,
         notes: Vec<message::Note>,
     ) -> bool {
@@ -219,6 +271,10 @@
         }
         host.sequence = sequence;
         let before = host.requests.len();
+        if term > host.term {
+            host.term = term;
+            host.requests.clear();
+        }
         for note in notes {
             host.take(note);
         }
@@ -226,24 +282,28 @@
         true
     }
 
-    /// Forgets the notes of a host up to a message of notes.
-    pub fn forget(&mut self, from: identity::HostId, sequence: u64) {
-        let Some(host) = self.kept.get_mut(&from) else {
-            return;
-        };
-        if sequence >= host.sequence {
+    /// Forgets the notes of a host up to a term.
+    pub fn forget(&mut self, from: identity::HostId, term: u64) {
+        let Some(host) = self.kept.get_mut(&from) else { return };
+        if term >= host.term {
             self.count -= host.requests.len();
             host.requests.clear();
-            host.sequence = sequence;
         }
     }
 
-    /// Notes that a host was lost or is back.
-    pub fn set_lost(&mut self, host: identity::HostId, is_lost: bool, now_ms: u64) {
-        if is_lost {
-            self.lost.entry(host).or_insert(now_ms);
-        } else {
-            self.lost.remove(&host);
+    /// Compares the hosts that notes are kept for with the members that are not lost.
+    ///
+    /// Called with each tick, since notes may come from a host that counts as lost already.
+    pub fn note_lost<F>(&mut self, is_lost: F, now_ms: u64)
+    where
+        F: Fn(identity::HostId) -> bool,
+    {
+        for (host, kept) in &self.kept {
+            if is_lost(*host) && !kept.requests.is_empty() {
+                self.lost.entry(*host).or_insert(now_ms);
+            } else {
+                self.lost.remove(host);
+            }
         }
     }
 
--- a/crates/coordination/src/ledger/message.rs
+++ b/crates/coordination/src/ledger/message.rs
@@ -68,6 +68,8 @@
     },
     /// Notes for the receiver to keep.
     Notes {
+        /// Counts the sender's changes of backup; the first notes of a term hold all that is open.
+        term: u64,
         /// Counts the sender's messages of this kind.
         sequence: u64,
         /// The notes in order.
@@ -82,12 +84,14 @@
     },
     /// Another host keeps the sender's notes now.
     Forget {
-        /// Number of the sender's last message of notes; later ones stay kept.
-        sequence: u64,
+        /// The term of the notes; those of a later term stay kept.
+        term: u64,
     },
     /// The notes of a host are forgotten.
     Forgotten {
         /// The run that they were for.
         to: identity::HostId,
+        /// The term of the notes.
+        term: u64,
     },
 }
--- a/crates/core/src/host/coordination.rs
+++ b/crates/core/src/host/coordination.rs
@@ -250,9 +250,8 @@
     fn on_member(&mut self, host: identity::HostId, status: membership::Status) {
         self.is_membership_changed = true;
         let is_lost = status == membership::Status::Dead;
-        self.vault.set_lost(host, is_lost, self.now.mono_ms);
         if is_lost {
-            self.notes.forgotten(host);
+            self.notes.lose(host);
         }
         let text = format!("host {host} is {}", crate::view::status_name(status));
         self.log(action::Level::Info, text);
--- a/crates/core/src/host/ledger.rs
+++ b/crates/core/src/host/ledger.rs
@@ -46,6 +46,12 @@
             let effects = self.owners[shard].tick(now.mono_ms, now.wall_s);
             self.apply_owner(shard, effects);
         }
+        let members = self.membership.members();
+        let is_lost = |host: identity::HostId| {
+            let status = members.get(&host).map(|member| member.record.status);
+            status.is_none_or(|status| status == membership::Status::Dead)
+        };
+        self.vault.note_lost(is_lost, now.mono_ms);
         for bill in self.vault.orphans(now.mono_ms) {
             self.counters.add(counter::Counter::OrphansBilled);
             let shard = journal::shard_of_bills(bill.id.host, self.config.ledger_shards);
@@ -111,8 +117,8 @@
                     self.on_verdicts(decided);
                 }
             }
-            ledger_message::Message::Notes { sequence, notes } => {
-                if self.vault.keep(sender, sequence, notes) {
+            ledger_message::Message::Notes { term, sequence, notes } => {
+                if self.vault.keep(sender, term, sequence, notes) {
                     let to = sender;
                     self.send_ledger(from, ledger_message::Message::NotesKept { to, sequence });
                 }
@@ -122,14 +128,14 @@
                     self.finish_kept();
                 }
             }
-            ledger_message::Message::Forget { sequence } => {
-                self.vault.forget(sender, sequence);
+            ledger_message::Message::Forget { term } => {
+                self.vault.forget(sender, term);
                 let to = sender;
-                self.send_ledger(from, ledger_message::Message::Forgotten { to });
+                self.send_ledger(from, ledger_message::Message::Forgotten { to, term });
             }
-            ledger_message::Message::Forgotten { to } => {
+            ledger_message::Message::Forgotten { to, term } => {
                 if to == self.id() {
-                    self.notes.forgotten(sender);
+                    self.notes.forgotten(sender, term);
                 }
             }
         }
--- a/crates/core/src/host/mod.rs
+++ b/crates/core/src/host/mod.rs
@@ -224,6 +224,11 @@
         self.owners.get(shard as usize)
     }
 
+    /// The hosts that hold a copy of each request whose bill is not durable, lost ones too.
+    pub fn keepers(&self) -> impl Iterator<Item = (u64, collections::BTreeSet<identity::HostId>)> {
+        self.notes.keepers()
+    }
+
     /// A picture of the host.
     #[must_use]
     pub fn view(&self) -> view::View {
--- a/crates/core/src/host/traffic.rs
+++ b/crates/core/src/host/traffic.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use toucanwall_coordination::ledger::backup;
 use toucanwall_coordination::ledger::entry;
 use toucanwall_policy::balance;
 use toucanwall_policy::limit;
@@ -141,15 +142,15 @@
             let Live::Finishing(request) = live else {
                 continue;
             };
-            let is_kept = self.notes.is_kept(request.state.number);
-            if is_kept || now_ms >= request.state.give_up_ms {
-                done.push((*ticket, request.state.attempt, is_kept));
+            let copy = self.notes.copy_of(request.state.number);
+            if copy != backup::Copy::Awaited || now_ms >= request.state.give_up_ms {
+                done.push((*ticket, request.state.attempt, copy));
             }
         }
-        for (ticket, attempt, is_kept) in done {
+        for (ticket, attempt, copy) in done {
             self.requests.remove(&ticket);
             self.counters.add(counter::Counter::Answered);
-            if !is_kept {
+            if copy != backup::Copy::Kept {
                 self.counters.add(counter::Counter::FinishedWithoutBackup);
             }
             self.act(action::Action::Finish { ticket, attempt });
--- a/crates/core/tests/world/check.rs
+++ b/crates/core/tests/world/check.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 
+use toucanwall_coordination::identity;
 use toucanwall_coordination::ledger::entry;
 use toucanwall_coordination::ledger::owner;
 use toucanwall_coordination::ledger::state;
@@ -12,6 +13,9 @@
 use super::World;
 use super::callers;
 
+/// Losses this close leave no time to copy or bill what was open, in milliseconds.
+const LOST_TOGETHER_MS: u64 = 45_000;
+
 /// Something that must hold and did not.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Violation {
@@ -164,13 +168,31 @@
             }
         }
         for (id, got) in unbilled {
-            let is_lost = self.lost_hosts.contains(&id.host);
-            let may_be_unbilled = got != callers::Got::Answer || self.lost_hosts.len() >= 2;
-            if is_lost && may_be_unbilled {
+            let loss = self.lost.get(&id.host);
+            let keepers = loss.and_then(|loss| loss.keepers.get(&id.number));
+            self.trace_line(0, &format!("unbilled {id:?} kept by {keepers:?}"));
+            if self.may_be_unbilled(id, got) {
                 self.report.bills_lost_with_host += 1;
             } else {
                 self.violate(Violation::Unbilled { got, id });
             }
         }
     }
+
+    /// A request may go unbilled if its host was lost before it was answered, together with
+    /// every host that kept a copy, or after it said that it answered without a copy.
+    fn may_be_unbilled(&self, id: entry::BillId, got: callers::Got) -> bool {
+        let Some(loss) = self.lost.get(&id.host) else { return false };
+        let is_keeper_lost = |keeper: &identity::HostId| {
+            self.lost
+                .get(keeper)
+                .is_some_and(|other| other.at_ms.abs_diff(loss.at_ms) <= LOST_TOGETHER_MS)
+        };
+        let Some(keepers) = loss.keepers.get(&id.number) else { return false };
+        let is_copied = !keepers.is_empty();
+        if is_copied {
+            return keepers.iter().all(is_keeper_lost);
+        }
+        got != callers::Got::Answer || loss.has_answered_without_backup
+    }
 }
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -19,6 +19,7 @@
 use toucanwall_coordination::platform as object_store;
 use toucanwall_core::Host;
 use toucanwall_core::action;
+use toucanwall_core::counter;
 use toucanwall_core::envelope;
 use toucanwall_core::event;
 use toucanwall_core::host;
@@ -118,6 +119,14 @@
     },
 }
 
+/// A host that was lost, and who kept its open requests.
+#[derive(Debug)]
+struct Loss {
+    at_ms: u64,
+    keepers: collections::BTreeMap<u64, collections::BTreeSet<identity::HostId>>,
+    has_answered_without_backup: bool,
+}
+
 /// One place where a host runs.
 #[derive(Debug)]
 struct Slot {
@@ -145,7 +154,7 @@
     cut_slots: collections::BTreeSet<usize>,
     withdrawn_since: collections::BTreeMap<Arc<str>, u64>,
     leaving_since: collections::BTreeMap<net::SocketAddr, u64>,
-    lost_hosts: collections::BTreeSet<identity::HostId>,
+    lost: collections::BTreeMap<identity::HostId, Loss>,
     violations: Vec<Violation>,
     report: Report,
     is_healing: bool,
@@ -170,7 +179,7 @@
             cut_slots: collections::BTreeSet::new(),
             withdrawn_since: collections::BTreeMap::new(),
             leaving_since: collections::BTreeMap::new(),
-            lost_hosts: collections::BTreeSet::new(),
+            lost: collections::BTreeMap::new(),
             violations: Vec::new(),
             report: Report::default(),
             is_healing: false,
@@ -428,20 +437,32 @@
 
     fn crash(&mut self, slot: usize) {
         if let Some(host) = self.slots[slot].host.take() {
-            self.lost_hosts.insert(host.id());
+            self.note_loss(&host);
             self.callers_lose_host(slot);
             let at_ms = self.now_ms + self.rng.random_range(100..8_000);
             self.push(at_ms, Happening::Restart { slot });
         }
     }
 
+    fn note_loss(&mut self, host: &Host) {
+        let without_backup = counter::Counter::FinishedWithoutBackup;
+        let loss = Loss {
+            at_ms: self.now_ms,
+            keepers: host.keepers().collect(),
+            has_answered_without_backup: host.counters().get(without_backup) > 0,
+        };
+        self.lost.insert(host.id(), loss);
+    }
+
     fn stopped(&mut self, slot: usize) {
         self.check_stopped(slot);
         self.callers_lose_host(slot);
         let host = self.slots[slot].host.take();
         // Stopped by its deadline with entries that only its backup can still write.
-        if let Some(host) = host.filter(|host| host.view().ledger_pending_bytes > 0) {
-            self.lost_hosts.insert(host.id());
+        let view = host.as_ref().map(Host::view).unwrap_or_default();
+        if let Some(host) = host.filter(|_| view.ledger_pending_bytes > 0 || view.backups_kept > 0)
+        {
+            self.note_loss(&host);
         }
         let at_ms = self.now_ms + self.rng.random_range(100..4_000);
         self.push(at_ms, Happening::Restart { slot });
@@ -453,7 +474,11 @@
         self.platform.flaky_until_ms = 0;
         self.cut_until_ms = 0;
         for slot in 0..SLOTS {
-            self.slots[slot].paused_until_ms = self.slots[slot].paused_until_ms.min(self.now_ms);
+            if self.now_ms < self.slots[slot].paused_until_ms {
+                self.slots[slot].paused_until_ms = self.now_ms;
+                let run = self.slots[slot].run;
+                self.push(self.now_ms, Happening::Tick { slot, run });
+            }
         }
     }
 }
