--- a/crates/coordination/src/ledger/backup.rs
+++ b/crates/coordination/src/ledger/backup.rs
@@ -171,6 +171,10 @@
             return Vec::new();
         }
         self.next_forget_ms = now_ms + RESEND_MS;
+        for open in self.open.values_mut() {
+            // From here on nobody relies on the copies that are to be forgotten.
+            open.kept_by.retain(|host| *host == backup);
+        }
         self.former
             .iter()
             .map(|(host, term)| (*host, message::Message::Forget { term: *term }))
@@ -188,9 +192,6 @@
             return;
         }
         self.former.remove(&host);
-        for open in self.open.values_mut() {
-            open.kept_by.remove(&host);
-        }
     }
 
     /// Takes the backup's word that notes are kept; returns the requests now known there.
