--- a/crates/coordination/src/ledger/backup.rs
+++ b/crates/coordination/src/ledger/backup.rs
@@ -315,12 +315,14 @@
         }
     }
 
-    /// Bills of the hosts that have been lost for [`ORPHAN_DELAY_MS`].
-    pub fn orphans(&mut self, now_ms: u64) -> Vec<entry::Bill> {
+    /// Bills of the hosts that have been lost for `delay_ms`.
+    ///
+    /// That is [`ORPHAN_DELAY_MS`], or zero for a keeper that is about to stop itself.
+    pub fn orphans(&mut self, delay_ms: u64, now_ms: u64) -> Vec<entry::Bill> {
         let due: Vec<identity::HostId> = self
             .lost
             .iter()
-            .filter(|(_, since_ms)| now_ms >= **since_ms + ORPHAN_DELAY_MS)
+            .filter(|(_, since_ms)| now_ms >= **since_ms + delay_ms)
             .map(|(host, _)| *host)
             .collect();
         let mut bills = Vec::new();
--- /dev/null
+++ b/crates/core/examples/capacity/fixture.rs
@@ -0,0 +1,65 @@
+//! A document of a given size, and a host list.
+
+use std::sync::Arc;
+
+use toucanwall_coordination::parts;
+use toucanwall_coordination::replica;
+use toucanwall_document::check;
+use toucanwall_document::parts as document_parts;
+
+use crate::store;
+
+/// Bytes that one organisation takes, roughly.
+const ORGANISATION_BYTES: usize = 230;
+
+/// The digest under which the first organisation's key is known.
+pub fn key_sha256(number: usize) -> Arc<str> {
+    format!("{number:064x}").into()
+}
+
+/// A document of roughly `document_kb` kilobytes; `share` sets one version's share.
+pub fn parts(document_kb: usize, share: u64) -> parts::Parts {
+    let organisations = (document_kb * 1_024 / ORGANISATION_BYTES).max(1);
+    let mut text = format!(
+        "pools:\n  engines: {{ server_slots: 100000 }}\n  desk: {{ server_slots: 100000 }}\n\
+         models:\n  model:\n    pool: engines\n    cost_microcents_per_kilotoken: 1000\n    versions:\n\
+         \x20     \"1\": {{ share_percent: {share} }}\n      \"2\": {{ share_percent: {} }}\n\
+         services:\n  desk: {{ pool: desk, non_idempotent: [\"POST /bookings\"] }}\n\
+         organisations:\n",
+        100 - share
+    );
+    for number in 0..organisations {
+        text.push_str(&format!(
+            "  organisation-{number}:\n    key_sha256: \"{}\"\n    models: [model]\n    services: [desk]\n    requests_per_s: 1000000\n",
+            key_sha256(number)
+        ));
+    }
+    let document = check::check("fixture", &text).unwrap_or_else(|findings| panic!("{findings}"));
+    document_parts::cut(&document)
+}
+
+/// The next change of the configuration.
+pub fn change(base: &replica::Snapshot, next: &parts::Parts) -> replica::Change {
+    replica::Change {
+        revision: base.revision + 1,
+        author: Arc::from("operator"),
+        reason: Arc::from("a change of shares"),
+        at_ms: 0,
+        nonce: base.revision,
+        difference: base.parts.difference_to(next),
+        digest: next.digest(),
+    }
+}
+
+/// Lists backend servers at the platform.
+pub fn list_servers(store: &mut store::Store, servers: usize) {
+    for number in 0..servers.max(2) {
+        let pool = if number % 10 == 0 { "desk" } else { "engines" };
+        let address = format!("10.9.{}.{}:8000", number / 250, number % 250 + 1);
+        let value = serde_json::json!({
+            "address": address, "pool": pool, "leaving": false, "loaded": ["model@1", "model@2"],
+        });
+        let key = format!("status/servers/{pool}/{address}");
+        store.put(&key, value.to_string().into_bytes().into());
+    }
+}
--- a/crates/core/src/host/ledger.rs
+++ b/crates/core/src/host/ledger.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use toucanwall_coordination::identity;
+use toucanwall_coordination::ledger::backup;
 use toucanwall_coordination::ledger::entry;
 use toucanwall_coordination::ledger::journal;
 use toucanwall_coordination::ledger::message as ledger_message;
@@ -16,6 +17,7 @@
 use crate::message;
 
 use super::Host;
+use super::Life;
 
 /// Shortest time between two messages of notes or bills, in milliseconds.
 const FLUSH_MS: u64 = 5;
@@ -52,7 +54,11 @@
             status.is_none_or(|status| status == membership::Status::Dead)
         };
         self.vault.note_lost(is_lost, now.mono_ms);
-        for bill in self.vault.orphans(now.mono_ms) {
+        let delay_ms = match self.life {
+            Life::Serving => backup::ORPHAN_DELAY_MS,
+            Life::Leaving { .. } | Life::Stopped => 0,
+        };
+        for bill in self.vault.orphans(delay_ms, now.mono_ms) {
             self.counters.add(counter::Counter::OrphansBilled);
             let shard = journal::shard_of_bills(bill.id.host, self.config.ledger_shards);
             self.journal.submit(shard, entry::Entry::Bill(bill));
