Pace the ledger's writes by shard and let notes and bills gather

Cause: each shard wrote every 20 ms if anything waited, and notes went out every 5 ms. Ruled out: request rate (writes depend on shards and gaps alone) and resends. Conclusion: claims wait for up to 4 ms a shard, bills for 16 ms a shard; notes go at once only when an answer waits for them.

--- a/crates/coordination/src/ledger/journal.rs
+++ b/crates/coordination/src/ledger/journal.rs
@@ -10,6 +10,8 @@
 pub const RESEND_MIN_MS: u64 = 400;
 /// Longest time between two sends of an entry, in milliseconds.
 pub const RESEND_MAX_MS: u64 = 6_400;
+/// Time for which bills gather before they are sent, in milliseconds.
+pub const GATHER_MS: u64 = 200;
 /// Most bytes of entries that wait, in bytes.
 pub const PENDING_MAX_BYTES: usize = 32 * 1024 * 1024;
 /// Most entries of a shard that are on their way at a time; the others wait their turn.
@@ -92,15 +94,20 @@
     }
 
     /// Takes an entry and keeps it until its verdict; returns its number.
-    pub fn submit(&mut self, shard: u32, entry: entry::Entry) -> u64 {
+    pub fn submit(&mut self, shard: u32, entry: entry::Entry, now_ms: u64) -> u64 {
         let number = self.next_number;
         self.next_number += 1;
         let bytes = entry_bytes(&entry);
         self.pending_bytes += bytes;
         let lane = self.lanes.entry(shard).or_default();
-        lane.turns.insert(turn(number, &entry));
-        lane.next_due_ms = 0;
-        let pending = Pending { shard, entry, bytes, next_send_ms: 0, resend_ms: RESEND_MIN_MS };
+        let turn = turn(number, &entry);
+        let next_send_ms = match turn.0 {
+            Urgency::Claim => now_ms,
+            Urgency::Bill => (now_ms / GATHER_MS + 1) * GATHER_MS,
+        };
+        lane.turns.insert(turn);
+        lane.next_due_ms = lane.next_due_ms.min(next_send_ms);
+        let pending = Pending { shard, entry, bytes, next_send_ms, resend_ms: RESEND_MIN_MS };
         self.pending.insert(number, pending);
         number
     }
--- a/crates/coordination/src/ledger/owner.rs
+++ b/crates/coordination/src/ledger/owner.rs
@@ -11,8 +11,12 @@
 use crate::ledger::state;
 use crate::platform;
 
-/// Shortest time between two writes of a shard, in milliseconds.
-pub const WRITE_GAP_MS: u64 = 20;
+/// Shortest time between two writes with claims, for each shard of the ledger, in milliseconds.
+///
+/// The gap grows with the shards, so that all of them together stay under 250 writes a second.
+pub const CLAIM_GAP_PER_SHARD_MS: u64 = 4;
+/// Shortest time between two writes with bills alone, for each shard, in milliseconds.
+pub const BILL_GAP_PER_SHARD_MS: u64 = 16;
 /// Batches after which a checkpoint is written.
 pub const CHECKPOINT_EVERY: u64 = 256;
 /// Largest object that is written, in bytes.
@@ -75,6 +79,8 @@
 pub struct Owner {
     me: identity::HostId,
     shard: u32,
+    shards: u32,
+    last_write_ms: Option<u64>,
     phase: Phase,
     is_wanted: bool,
     is_asked: bool,
@@ -88,12 +94,14 @@
 }
 
 impl Owner {
-    /// A host's part in a shard, not the owner yet; `nonce` must be random.
+    /// A host's part in one of `shards` shards, not the owner yet; `nonce` must be random.
     #[must_use]
-    pub fn new(me: identity::HostId, shard: u32, nonce: u64) -> Self {
+    pub fn new(me: identity::HostId, shard: u32, shards: u32, nonce: u64) -> Self {
         Self {
             me,
             shard,
+            shards,
+            last_write_ms: None,
             phase: Phase::Idle,
             is_wanted: false,
             is_asked: false,
@@ -162,7 +170,7 @@
         }
         let mut effects = Vec::new();
         if matches!(self.phase, Phase::Ready) {
-            self.leave_ready(wall_s, &mut effects);
+            self.leave_ready(now_ms, wall_s, &mut effects);
         }
         if let Some(call) = self.next_call(&mut effects) {
             self.is_asked = true;
@@ -212,12 +220,15 @@
         }
     }
 
-    fn leave_ready(&mut self, wall_s: u64, effects: &mut Vec<Effect>) {
+    fn leave_ready(&mut self, now_ms: u64, wall_s: u64, effects: &mut Vec<Effect>) {
         if !self.is_wanted {
             self.queue.clear();
             self.phase = Phase::Idle;
             return;
         }
+        if now_ms < self.next_write_ms() {
+            return;
+        }
         let waiting = self.next_waiting(effects);
         if !waiting.is_empty() {
             self.phase = Phase::Writing(self.next_write(waiting, wall_s));
@@ -226,6 +237,16 @@
         }
     }
 
+    /// When the next batch may be written: claims hold requests up, bills can wait.
+    fn next_write_ms(&self) -> u64 {
+        let Some(last_ms) = self.last_write_ms else { return 0 };
+        let gap_ms = match self.queue.has_urgent() {
+            true => CLAIM_GAP_PER_SHARD_MS,
+            false => BILL_GAP_PER_SHARD_MS,
+        };
+        last_ms + gap_ms * u64::from(self.shards)
+    }
+
     /// Takes entries for the next batch; those sent again meanwhile have their verdict already.
     fn next_waiting(&mut self, effects: &mut Vec<Effect>) -> Vec<queue::Waiting> {
         let mut waiting = Vec::new();
@@ -360,7 +381,7 @@
             let number = waiting.submission.number;
             by_host.entry(waiting.from).or_default().push(message::Decided { number, verdict });
         }
-        self.next_call_ms = now_ms + WRITE_GAP_MS;
+        self.last_write_ms = Some(now_ms);
         self.phase = Phase::Ready;
         by_host.into_iter().flat_map(|(host, decided)| verdicts(host, decided)).collect()
     }
--- a/crates/coordination/src/ledger/queue.rs
+++ b/crates/coordination/src/ledger/queue.rs
@@ -3,6 +3,7 @@
 use std::collections;
 
 use crate::identity;
+use crate::ledger::entry;
 use crate::ledger::message;
 
 /// Most entries waiting at one owner.
@@ -22,6 +23,7 @@
 pub struct Queue {
     waiting: collections::VecDeque<Waiting>,
     known: collections::BTreeSet<(identity::HostId, u64)>,
+    urgent: usize,
 }
 
 impl Queue {
@@ -31,9 +33,16 @@
         self.waiting.is_empty()
     }
 
+    /// Whether an entry waits that holds a request up.
+    #[must_use]
+    pub fn has_urgent(&self) -> bool {
+        self.urgent > 0
+    }
+
     /// Adds an entry unless it waits already or the queue is full; its sender sends it again.
     pub fn push(&mut self, waiting: Waiting) {
         if self.waiting.len() < QUEUE_MAX && self.known.insert(key(&waiting)) {
+            self.urgent += usize::from(is_urgent(&waiting));
             self.waiting.push_back(waiting);
         }
     }
@@ -42,6 +51,7 @@
     pub fn put_back(&mut self, entries: Vec<Waiting>) {
         for waiting in entries.into_iter().rev() {
             if self.known.insert(key(&waiting)) {
+                self.urgent += usize::from(is_urgent(&waiting));
                 self.waiting.push_front(waiting);
             }
         }
@@ -53,6 +63,7 @@
         let taken: Vec<Waiting> = self.waiting.drain(..count).collect();
         for waiting in &taken {
             self.known.remove(&key(waiting));
+            self.urgent -= usize::from(is_urgent(waiting));
         }
         taken
     }
@@ -61,9 +72,14 @@
     pub fn clear(&mut self) {
         self.waiting.clear();
         self.known.clear();
+        self.urgent = 0;
     }
 }
 
+fn is_urgent(waiting: &Waiting) -> bool {
+    !matches!(waiting.submission.entry, entry::Entry::Bill(_))
+}
+
 fn key(waiting: &Waiting) -> (identity::HostId, u64) {
     (waiting.from, waiting.submission.number)
 }
--- a/crates/core/src/host/claims.rs
+++ b/crates/core/src/host/claims.rs
@@ -30,7 +30,11 @@
         let claim = request::Claim { key, id };
         let content = request.head.content;
         let shard = journal::shard_of_claim(key, self.config.ledger_shards);
-        self.journal.submit(shard, entry::Entry::Claim { key, claim: id, content });
+        self.journal.submit(
+            shard,
+            entry::Entry::Claim { key, claim: id, content },
+            self.now.mono_ms,
+        );
         let give_up_ms = request.state.plan.deadline_ms.min(self.now.mono_ms + CLAIM_MS);
         let ticket = request.head.ticket;
         self.claims.insert(number, ticket);
@@ -111,13 +115,13 @@
     pub(super) fn release(&mut self, claim: request::Claim) {
         let shard = journal::shard_of_claim(claim.key, self.config.ledger_shards);
         let entry = entry::Entry::Release { key: claim.key, claim: claim.id };
-        self.journal.submit(shard, entry);
+        self.journal.submit(shard, entry, self.now.mono_ms);
     }
 
     /// Keeps the answer of a claimed request for callers that send it again.
     pub(super) fn settle(&mut self, claim: request::Claim, answer: entry::KeptAnswer) {
         let shard = journal::shard_of_claim(claim.key, self.config.ledger_shards);
         let entry = entry::Entry::Settle { key: claim.key, claim: claim.id, answer };
-        self.journal.submit(shard, entry);
+        self.journal.submit(shard, entry, self.now.mono_ms);
     }
 }
--- a/crates/core/src/host/ledger.rs
+++ b/crates/core/src/host/ledger.rs
@@ -19,8 +19,8 @@
 use super::Host;
 use super::Life;
 
-/// Shortest time between two messages of notes or bills, in milliseconds.
-const FLUSH_MS: u64 = 5;
+/// Time for which notes gather while no answer waits for them, in milliseconds.
+const GATHER_MS: u64 = 100;
 /// Mixed into shard numbers, so that shards rank hosts otherwise than other keys do.
 const SHARD_KEY: u64 = 0x73_68_61_72_64_00_00_00;
 
@@ -61,7 +61,7 @@
         for bill in self.vault.orphans(delay_ms, now.mono_ms) {
             self.counters.add(counter::Counter::OrphansBilled);
             let shard = journal::shard_of_bills(bill.id.host, self.config.ledger_shards);
-            self.journal.submit(shard, entry::Entry::Bill(bill));
+            self.journal.submit(shard, entry::Entry::Bill(bill), self.now.mono_ms);
         }
         self.flush_journal();
         for (former, message) in self.notes.due_to_forget(now.mono_ms) {
@@ -96,13 +96,13 @@
 
     /// Sends the notes that are due to the backup.
     pub(super) fn flush_notes(&mut self) {
-        if self.now.mono_ms < self.next_flush_ms {
+        if self.now.mono_ms < self.next_flush_ms && self.finishing == 0 {
             return;
         }
         let Some((backup, notes)) = self.notes.due(self.now.mono_ms) else {
             return;
         };
-        self.next_flush_ms = self.now.mono_ms + FLUSH_MS;
+        self.next_flush_ms = self.now.mono_ms + GATHER_MS;
         if let Some(to) = self.membership.address_of(backup) {
             self.send_ledger(to, notes);
         }
@@ -159,7 +159,7 @@
 
     pub(super) fn submit_bill(&mut self, bill: entry::Bill) {
         let shard = journal::shard_of_bills(bill.id.host, self.config.ledger_shards);
-        self.journal.submit(shard, entry::Entry::Bill(bill));
+        self.journal.submit(shard, entry::Entry::Bill(bill), self.now.mono_ms);
     }
 
     fn on_submit(
--- a/crates/core/src/host/mod.rs
+++ b/crates/core/src/host/mod.rs
@@ -104,6 +104,8 @@
     notes: backup::Notes,
     vault: backup::Vault,
     next_flush_ms: u64,
+    /// Answers that wait for the backup's word.
+    finishing: usize,
 
     balancer: balance::Balancer,
     cascades: cascade::Cascades,
@@ -127,7 +129,14 @@
         let me = config.info.id;
         let seed = config.seed;
         let owners = (0..config.ledger_shards)
-            .map(|shard| owner::Owner::new(me, shard, seed.rotate_left(shard % 64) ^ me.0))
+            .map(|shard| {
+                owner::Owner::new(
+                    me,
+                    shard,
+                    config.ledger_shards,
+                    seed.rotate_left(shard % 64) ^ me.0,
+                )
+            })
             .collect();
         Self {
             now,
@@ -153,6 +162,7 @@
             notes: backup::Notes::new(),
             vault: backup::Vault::new(),
             next_flush_ms: now.mono_ms,
+            finishing: 0,
             balancer: balance::Balancer::new(),
             cascades: cascade::Cascades::new(),
             answer_ms: collections::BTreeMap::new(),
--- a/crates/core/src/host/traffic.rs
+++ b/crates/core/src/host/traffic.rs
@@ -105,7 +105,8 @@
                 self.refuse_claiming(request, refusal::Reason::ClaimUnavailable);
             }
             Some(Live::Running(request)) => self.abandon(request),
-            Some(Live::Finishing(_)) | None => {}
+            Some(Live::Finishing(_)) => self.finishing -= 1,
+            None => {}
         }
     }
 
@@ -136,17 +137,19 @@
 
     /// Lets the last pieces of answers go whose requests the backup knows.
     pub(super) fn finish_kept(&mut self) {
+        if self.finishing == 0 {
+            return;
+        }
         let now_ms = self.now.mono_ms;
         let mut done = Vec::new();
         for (ticket, live) in &self.requests {
-            let Live::Finishing(request) = live else {
-                continue;
-            };
+            let Live::Finishing(request) = live else { continue };
             let copy = self.notes.copy_of(request.state.number);
             if copy != backup::Copy::Awaited || now_ms >= request.state.give_up_ms {
                 done.push((*ticket, request.state.attempt, copy));
             }
         }
+        self.finishing -= done.len();
         for (ticket, attempt, copy) in done {
             self.requests.remove(&ticket);
             self.counters.add(counter::Counter::Answered);
@@ -341,6 +344,7 @@
         let ticket = request.head.ticket;
         let answered = request.answer(self.now.mono_ms + FINISH_WAIT_MS);
         self.requests.insert(ticket, Live::Finishing(answered));
+        self.finishing += 1;
         self.finish_kept();
     }
 
