--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -19,9 +19,9 @@
 use crate::peers;
 
 /// Time between two ticks, in milliseconds.
-const TICK_MS: u64 = 5;
+const TICK_MS: u64 = 20;
 /// Time between two pictures for callers and operators, in milliseconds.
-const VIEW_MS: u64 = 50;
+const VIEW_MS: u64 = 100;
 
 /// Something for the control thread.
 #[derive(Debug)]
