Knock at silent addresses with a small ping instead of the whole list

Cause: one dead member anywhere made every host send the whole list of members to its address every two seconds for ten minutes, also where a replacement lives there by now. A dead member that lives hears of it and refutes; that has its test.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -26,6 +26,8 @@
 pub const PAUSE_GAP_MS: u64 = 2_000;
 /// Hosts asked to probe a silent member.
 const INDIRECT_PROBES: usize = 3;
+/// Silent addresses that are tried at a time.
+const KNOCKS_MAX: usize = 2;
 /// Most updates carried by one message.
 const UPDATES_MAX: usize = 8;
 
@@ -472,20 +474,34 @@
             .retain(|_, m| m.record.status != Status::Dead || now_ms < m.since_ms + FORGET_MS);
     }
 
+    /// Knocks at addresses where nobody is known to live: start addresses and dead members.
+    ///
+    /// A knock is small; who lives there after all answers with the whole list.
     fn rejoin(&mut self, effects: &mut Vec<Effect>) {
-        let mut unreached = self.seeds.clone();
-        let mut dead = collections::BTreeSet::new();
-        for member in self.members.values() {
-            let address = member.record.info.peer_address;
-            if member.record.status == Status::Dead {
-                dead.insert(address);
-            } else {
-                unreached.remove(&address);
+        let mut silent: collections::BTreeMap<net::SocketAddr, identity::HostId> =
+            self.seeds.iter().map(|seed| (*seed, identity::HostId(0))).collect();
+        let (dead, live): (Vec<_>, Vec<_>) = self
+            .members
+            .values()
+            .map(|member| (member.record.info.peer_address, &member.record))
+            .partition(|(_, record)| record.status == Status::Dead);
+        silent.extend(dead.into_iter().map(|(address, record)| (address, record.info.id)));
+        for (address, _) in &live {
+            silent.remove(address);
+        }
+        let is_alone = live.len() <= 1;
+        for (to, target) in silent.into_iter().sample(&mut self.rng, KNOCKS_MAX) {
+            if is_alone {
+                self.send_sync(&[to], effects);
+                continue;
             }
+            // Who counts as dead and is not refutes it in its answer.
+            let told = [self.me, target];
+            let known = told.iter().filter_map(|host| self.members.get(host));
+            let updates = known.map(|member| member.record.clone()).collect();
+            let nonce = self.rng.random_range(1..u64::MAX);
+            effects.push(Effect::Send { to, message: Message::Ping { target, nonce, updates } });
         }
-        dead.extend(unreached);
-        let addresses: Vec<_> = dead.into_iter().sample(&mut self.rng, 2);
-        self.send_sync(&addresses, effects);
     }
 
     fn send_sync(&self, peers: &[net::SocketAddr], effects: &mut Vec<Effect>) {
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -111,3 +111,32 @@
     fresh.confirm(later_ms + 1, 4);
     assert_eq!(fresh.standing(later_ms + 2, 4), freshness::Standing::Fresh);
 }
+
+#[rstest]
+fn a_member_that_counts_as_dead_hears_of_it_and_refutes() {
+    let mut members = one_that_knows(vec![record(info(2, 2, 10)), record(info(3, 3, 10))]);
+    let dead = membership::Record { status: membership::Status::Dead, ..record(info(2, 2, 10)) };
+    let sync = membership::Message::Sync { records: vec![dead], wants_reply: false };
+    members.receive(address(3), sync, 0);
+    let seeds = collections::BTreeSet::new();
+    let mut doubted = membership::Membership::new(info(2, 2, 10), seeds, 9, 0);
+    let mut answers = Vec::new();
+    for now_ms in (0..5_000).step_by(50) {
+        for effect in members.tick(now_ms) {
+            if let membership::Effect::Send { to, message } = effect
+                && to == address(2)
+            {
+                let bytes = format!("{message:?}").len();
+                assert!(bytes < 2_000, "a knock is small: {bytes}");
+                answers.extend(doubted.receive(address(1), message, now_ms));
+            }
+        }
+    }
+    for effect in answers {
+        if let membership::Effect::Send { message, .. } = effect {
+            members.receive(address(2), message, 5_000);
+        }
+    }
+    let status = members.members()[&identity::HostId(2)].record.status;
+    assert_eq!(status, membership::Status::Alive);
+}
