--- a/crates/coordination/src/ledger/backup.rs
+++ b/crates/coordination/src/ledger/backup.rs
@@ -12,7 +12,7 @@
 /// Time for which a lost host's requests wait before they are billed, in milliseconds.
 pub const ORPHAN_DELAY_MS: u64 = 15_000;
 /// Most notes kept for other hosts.
-pub const KEPT_MAX: usize = 400_000;
+pub const KEPT_MAX: usize = 200_000;
 
 /// What this host asks its backup to keep.
 #[derive(Debug, Default)]
--- a/crates/core/tests/world/backends.rs
+++ b/crates/core/tests/world/backends.rs
@@ -39,6 +39,9 @@
 impl World {
     pub(super) fn dispatch(&mut self, slot: usize, run: u64, dispatch: action::Dispatch) {
         self.check_dispatch(slot, &dispatch);
+        if let Some(key) = self.callers.key_of(dispatch.ticket) {
+            self.callers.dispatched.insert(key);
+        }
         if let Some(send) = self.callers.sends.get_mut(&dispatch.ticket) {
             send.bill = Some(dispatch.bill);
         }
--- a/crates/core/tests/world/callers.rs
+++ b/crates/core/tests/world/callers.rs
@@ -58,6 +58,10 @@
 pub struct FakeCallers {
     wishes: Vec<Wish>,
     pub sends: collections::BTreeMap<event::Ticket, Send>,
+    /// Keys whose call was sent to a server at least once.
+    pub dispatched: collections::BTreeSet<Arc<str>>,
+    /// Last sends of keys whose call never was.
+    pub last_tries: Vec<event::Ticket>,
     /// Session tokens, and the item that each session's model ran on first.
     sessions: Vec<Session>,
 }
@@ -103,6 +107,18 @@
         self.push(at_ms, Happening::CallerSends);
     }
 
+    /// A key whose call was only ever refused must still be good for a call.
+    pub(super) fn try_refused_keys(&mut self) {
+        let mut tried = self.callers.dispatched.clone();
+        for request in 0..self.callers.wishes.len() {
+            let Some(key) = self.callers.wishes[request].key.clone() else { continue };
+            if tried.insert(key) {
+                let ticket = self.send(request);
+                self.callers.last_tries.extend(ticket);
+            }
+        }
+    }
+
     pub(super) fn caller_resends(&mut self, request: usize) {
         if !self.is_healing && self.callers.wishes[request].sends < SENDS_MAX {
             self.send(request);
@@ -119,6 +135,7 @@
     }
 
     pub(super) fn caller_refused(&mut self, ticket: event::Ticket, refusal: &refusal::NotRun) {
+        self.trace_line(0, &format!("refused {:?} of {ticket:?}", refusal.reason()));
         self.end_send(ticket, Got::NotRun);
         if refusal.reason() == refusal::Reason::SessionWithdrawn
             && let Some(session) = self.callers.session_of(ticket)
@@ -189,11 +206,9 @@
         self.rng.random_range(0..self.callers.sessions.len())
     }
 
-    fn send(&mut self, request: usize) {
+    fn send(&mut self, request: usize) -> Option<event::Ticket> {
         let alive: Vec<usize> = (0..SLOTS).filter(|s| self.slots[*s].host.is_some()).collect();
-        let Some(slot) = alive.choose(&mut self.rng).copied() else {
-            return;
-        };
+        let slot = alive.choose(&mut self.rng).copied()?;
         let ticket = event::Ticket(self.rng.random());
         let run = self.slots[slot].run;
         let wish = &mut self.callers.wishes[request];
@@ -211,6 +226,9 @@
             None if wish.is_cascade => event::Target::Model(Arc::from("cascade")),
             None => event::Target::Model(Arc::from("model")),
         };
+        // Two wishes share a key and are the same call.
+        let same_call = u64::try_from(request / 2).unwrap_or(0);
+        let content = if wish.key.is_some() { same_call } else { self.rng.random() };
         let head = event::Head {
             ticket,
             key_sha256: document::key_sha256(),
@@ -219,7 +237,7 @@
             idempotency_key: wish.key.clone(),
             deadline_ms: 10_000,
             class: Arc::from("short"),
-            content: wish.key.as_ref().map_or(self.rng.random(), |_| 7),
+            content,
             prefix: None,
             resume_from: 0,
         };
@@ -229,6 +247,7 @@
         let event = event::Event::Request(Arc::new(head));
         let at_ms = self.now_ms + self.rng.random_range(0..5);
         self.push(at_ms, Happening::Deliver { slot, run: Some(run), event });
+        Some(ticket)
     }
 
     fn end_send(&mut self, ticket: event::Ticket, got: Got) {
--- a/crates/core/tests/world/check.rs
+++ b/crates/core/tests/world/check.rs
@@ -7,6 +7,7 @@
 use toucanwall_coordination::ledger::owner;
 use toucanwall_coordination::ledger::state;
 use toucanwall_core::counter;
+use toucanwall_core::event;
 
 use super::SHARDS;
 use super::SLOTS;
@@ -28,6 +29,7 @@
     StoppedWithOpenRequests { open: usize },
     EffectRepeated { key: String, times: u64 },
     NotRunButRan,
+    RefusedKeyIsStuck { got: callers::Got },
     AnsweredButNoEffect,
     NotInForceEverywhere { revision: u64, host: u64 },
     NoFinalAnswer { sends: usize },
@@ -82,6 +84,7 @@
         }
         self.check_effects();
         self.check_refusals();
+        self.check_last_tries();
         self.check_in_force();
         self.check_final_answers();
         self.check_bills();
@@ -111,6 +114,26 @@
         }
     }
 
+    fn check_last_tries(&mut self) {
+        let tries = self.callers.last_tries.iter();
+        let stuck: Vec<callers::Got> = tries
+            .filter(|ticket| !self.may_be_claimed_by_lost_host(**ticket))
+            .map(|ticket| self.callers.sends[ticket].got)
+            .filter(|got| *got != callers::Got::Answer)
+            .collect();
+        for got in stuck {
+            self.violate(Violation::RefusedKeyIsStuck { got });
+        }
+    }
+
+    /// Nobody but the holder of a claim may release it; a lost holder never will.
+    fn may_be_claimed_by_lost_host(&self, ticket: event::Ticket) -> bool {
+        let key = self.callers.key_of(ticket);
+        self.callers.sends.iter().any(|(other, send)| {
+            self.lost_runs.contains(&(send.slot, send.run)) && self.callers.key_of(*other) == key
+        })
+    }
+
     fn check_in_force(&mut self) {
         let revision = self.value_in_force().revision;
         for slot in 0..SLOTS {
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -155,6 +155,8 @@
     withdrawn_since: collections::BTreeMap<Arc<str>, u64>,
     leaving_since: collections::BTreeMap<net::SocketAddr, u64>,
     lost: collections::BTreeMap<identity::HostId, Loss>,
+    /// Slots and runs of the hosts that were lost.
+    lost_runs: collections::BTreeSet<(usize, u64)>,
     violations: Vec<Violation>,
     report: Report,
     is_healing: bool,
@@ -180,6 +182,7 @@
             withdrawn_since: collections::BTreeMap::new(),
             leaving_since: collections::BTreeMap::new(),
             lost: collections::BTreeMap::new(),
+            lost_runs: collections::BTreeSet::new(),
             violations: Vec::new(),
             report: Report::default(),
             is_healing: false,
@@ -218,6 +221,8 @@
         self.run_until(busy_end_ms);
         self.heal();
         let end_ms = self.now_ms + self.hardness.heal_ms;
+        self.run_until(self.now_ms + self.hardness.heal_ms / 2);
+        self.try_refused_keys();
         self.run_until(end_ms);
         self.check_at_end();
         (self.report, self.violations)
@@ -437,14 +442,15 @@
 
     fn crash(&mut self, slot: usize) {
         if let Some(host) = self.slots[slot].host.take() {
-            self.note_loss(&host);
+            self.note_loss(slot, &host);
             self.callers_lose_host(slot);
             let at_ms = self.now_ms + self.rng.random_range(100..8_000);
             self.push(at_ms, Happening::Restart { slot });
         }
     }
 
-    fn note_loss(&mut self, host: &Host) {
+    fn note_loss(&mut self, slot: usize, host: &Host) {
+        self.lost_runs.insert((slot, self.slots[slot].run));
         let without_backup = counter::Counter::FinishedWithoutBackup;
         let loss = Loss {
             at_ms: self.now_ms,
@@ -462,7 +468,7 @@
         let view = host.as_ref().map(Host::view).unwrap_or_default();
         if let Some(host) = host.filter(|_| view.ledger_pending_bytes > 0 || view.backups_kept > 0)
         {
-            self.note_loss(&host);
+            self.note_loss(slot, &host);
         }
         let at_ms = self.now_ms + self.rng.random_range(100..4_000);
         self.push(at_ms, Happening::Restart { slot });
