Say that a key is held only after a write

Ruled out: the log (it shows the release) and the released set. Before: the new test gets InProgress; after: the old owner loses the create, reads on and grants the claim.

--- a/crates/coordination/src/ledger/owner.rs
+++ b/crates/coordination/src/ledger/owner.rs
@@ -213,9 +213,10 @@
             return None;
         }
         match self.state.judge(entry) {
-            // A claim seen as free or held elsewhere may have changed since this host last wrote;
-            // only what can never change again is said without a write.
-            state::Judgement::Known(entry::Verdict::Granted) | state::Judgement::Append(_) => None,
+            // A claim seen as free or held may have changed since this host last wrote, and only
+            // a write tells; what can never change again is said without one.
+            state::Judgement::Known(entry::Verdict::Granted | entry::Verdict::InProgress)
+            | state::Judgement::Append(_) => None,
             state::Judgement::Known(verdict) => Some(verdict),
         }
     }
--- a/crates/coordination/tests/ledger.rs
+++ b/crates/coordination/tests/ledger.rs
@@ -244,3 +244,22 @@
     assert_eq!(state.apply(&batch), [entry::Verdict::Released, entry::Verdict::Released]);
     assert_eq!(state.claim_count(), 0);
 }
+
+#[rstest]
+fn an_owner_with_an_old_state_does_not_say_that_a_released_key_is_held() {
+    let mut objects = Objects::default();
+    let host = identity::HostId(9);
+    let mut old = owner::Owner::new(identity::HostId(1), 0, 1, 100);
+    let mut new = owner::Owner::new(identity::HostId(2), 0, 1, 200);
+    old.set_wanted(true);
+    old.submit(host, submission(1, claim(5, 1)));
+    assert_eq!(run(&mut old, &mut objects, 0).len(), 1);
+    new.set_wanted(true);
+    let id = entry::ClaimId { host: identity::HostId(1), number: 1 };
+    let release = entry::Entry::Release { key: entry::ClaimKey(5), claim: id };
+    new.submit(host, submission(2, release));
+    assert_eq!(run(&mut new, &mut objects, 2_000).len(), 1);
+    old.submit(host, submission(3, claim(5, 2)));
+    let decided = run(&mut old, &mut objects, 4_000);
+    assert_eq!(decided, [message::Decided { number: 3, verdict: entry::Verdict::Granted }]);
+}
