--- a/crates/coordination/src/ledger/owner.rs
+++ b/crates/coordination/src/ledger/owner.rs
@@ -241,10 +241,8 @@
     /// When the next batch may be written: claims hold requests up, bills can wait.
     fn next_write_ms(&self) -> u64 {
         let Some(last_ms) = self.last_write_ms else { return 0 };
-        let gap_ms = match self.queue.has_urgent() {
-            true => CLAIM_GAP_PER_SHARD_MS,
-            false => BILL_GAP_PER_SHARD_MS,
-        };
+        let gap_ms =
+            if self.queue.has_urgent() { CLAIM_GAP_PER_SHARD_MS } else { BILL_GAP_PER_SHARD_MS };
         last_ms + gap_ms * u64::from(self.shards)
     }
 
--- a/crates/core/examples/capacity/fixture.rs
+++ b/crates/core/examples/capacity/fixture.rs
@@ -1,5 +1,6 @@
 //! A document of a given size, and a host list.
 
+use std::fmt::Write as _;
 use std::sync::Arc;
 
 use toucanwall_coordination::parts;
@@ -29,10 +30,12 @@
         100 - share
     );
     for number in 0..organisations {
-        text.push_str(&format!(
-            "  organisation-{number}:\n    key_sha256: \"{}\"\n    models: [model]\n    services: [desk]\n    requests_per_s: 1000000\n",
-            key_sha256(number)
-        ));
+        let key = key_sha256(number);
+        writeln!(
+            text,
+            "  organisation-{number}:\n    key_sha256: \"{key}\"\n    models: [model]\n    services: [desk]\n    requests_per_s: 1000000"
+        )
+        .expect("a string takes everything");
     }
     let document = check::check("fixture", &text).unwrap_or_else(|findings| panic!("{findings}"));
     document_parts::cut(&document)
--- /dev/null
+++ b/crates/core/src/host/billing.rs
@@ -0,0 +1,49 @@
+//! One bill for each request that was dispatched.
+
+use std::sync::Arc;
+
+use toucanwall_coordination::ledger::entry;
+
+use crate::request;
+
+use super::Host;
+
+impl Host {
+    pub(super) fn bill(
+        &mut self,
+        request: &request::Request<request::Dispatched>,
+        tokens: u64,
+        ending: entry::Ending,
+    ) {
+        let bill = entry::Bill {
+            id: entry::BillId { host: self.id(), number: request.state.number },
+            organisation: Arc::from(request.state.plan.organisation.as_str()),
+            item: Arc::clone(&request.state.item),
+            tokens,
+            cost_microcents: match ending {
+                entry::Ending::Answered => self.cost_microcents(request, tokens),
+                entry::Ending::Failed | entry::Ending::Interrupted => 0,
+            },
+            ending,
+        };
+        self.notes.bill(bill.clone());
+        self.submit_bill(bill);
+    }
+
+    pub(super) fn cost_microcents(
+        &self,
+        request: &request::Request<request::Dispatched>,
+        tokens: u64,
+    ) -> u64 {
+        let document = self.catalogue.document();
+        match &request.state.plan.work {
+            request::Work::Model { stages, stage, .. } => stages
+                .get(*stage)
+                .and_then(|model| document.models.get(model))
+                .map_or(0, |model| (model.cost_microcents_per_kilotoken * tokens).div_ceil(1_000)),
+            request::Work::Service { name, .. } => {
+                document.services.get(name).map_or(0, |service| service.cost_microcents_per_call)
+            }
+        }
+    }
+}
--- a/crates/core/src/host/mod.rs
+++ b/crates/core/src/host/mod.rs
@@ -1,8 +1,10 @@
 //! The aggregate that joins coordination and policy for one host.
 
 mod addresses;
+mod billing;
 mod claims;
 mod coordination;
+mod failures;
 mod ledger;
 mod routing;
 mod traffic;
--- a/crates/core/src/host/traffic.rs
+++ b/crates/core/src/host/traffic.rs
@@ -4,7 +4,6 @@
 
 use toucanwall_coordination::ledger::backup;
 use toucanwall_coordination::ledger::entry;
-use toucanwall_policy::balance;
 use toucanwall_policy::limit;
 
 use crate::action;
@@ -15,25 +14,13 @@
 
 use super::Host;
 use super::Live;
+use super::failures;
 use super::routing;
 
-/// Attempts that one request gets at most.
-const ATTEMPTS_MAX: event::Attempt = 3;
 /// Longest answer that is held to be rated, in bytes.
 const HELD_MAX_BYTES: usize = 64 * 1024;
 /// Longest wait for the backup's word before the last piece of an answer, in milliseconds.
 const FINISH_WAIT_MS: u64 = 2_000;
-/// When to come back after a failure, in milliseconds.
-const FAILED_RETRY_MS: u64 = 1_000;
-
-/// What a further attempt costs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Cost {
-    /// Nothing: no server has run the attempt before.
-    Free,
-    /// One retry of the budget.
-    Budget,
-}
 
 impl Host {
     pub(super) fn on_request(&mut self, head: Arc<event::Head>) {
@@ -62,7 +49,7 @@
         let Some(request) = self.take_running(ticket, attempt) else {
             return;
         };
-        self.balancer.end(request.state.server, outcome_of(&end), self.now.mono_ms);
+        self.balancer.end(request.state.server, failures::outcome_of(&end), self.now.mono_ms);
         match end {
             event::AttemptEnd::Answered { tokens, answer } => {
                 self.on_answered(request, tokens, answer);
@@ -220,7 +207,7 @@
         }
     }
 
-    fn dispatch_admitted(&mut self, mut request: request::Request<request::Admitted>) {
+    pub(super) fn dispatch_admitted(&mut self, mut request: request::Request<request::Admitted>) {
         let head = Arc::clone(&request.head);
         match self.route(&head, &mut request.state.plan) {
             Ok(route) => {
@@ -232,7 +219,7 @@
     }
 
     /// Notes an attempt; a request's first one gives the number that it is billed under.
-    fn sent(
+    pub(super) fn sent(
         &mut self,
         route: &routing::Route,
         plan: &mut request::Plan,
@@ -255,7 +242,7 @@
         }
     }
 
-    fn start(
+    pub(super) fn start(
         &mut self,
         request: request::Request<request::Dispatched>,
         route: routing::Route,
@@ -347,186 +334,6 @@
         self.finishing += 1;
         self.finish_kept();
     }
-
-    fn escalate(&mut self, mut request: request::Request<request::Dispatched>) {
-        self.counters.add(counter::Counter::Escalated);
-        let cost = self.cost_microcents(&request, request.state.held_tokens);
-        self.counters.add_many(counter::Counter::EscalatedMicrocents, cost);
-        if let request::Work::Model { stage, .. } = &mut request.state.plan.work {
-            *stage += 1;
-        }
-        self.dispatch_next(request, false);
-    }
-
-    fn on_failed(
-        &mut self,
-        mut request: request::Request<request::Dispatched>,
-        fault: event::Fault,
-        delivered_events: u64,
-        is_resumable: bool,
-    ) {
-        self.counters.add(counter::Counter::AttemptsFailed);
-        let server = request.state.server;
-        match fault {
-            event::Fault::Crashed => self.implicate(request.head.content, server),
-            _ => self.poison.end(request.head.content),
-        }
-        request.state.plan.excluded.insert(server);
-        request.state.plan.delivered_events = delivered_events;
-        match fault {
-            event::Fault::NotSent => self.send_elsewhere(request),
-            event::Fault::Declined if request.state.claim.is_none() => {
-                self.retry(request, Cost::Free);
-            }
-            event::Fault::TooLong => self.escalate(request),
-            _ if request.state.claim.is_some() || !is_resumable => self.give_up(&request),
-            _ => self.retry(request, Cost::Budget),
-        }
-    }
-
-    /// Sends a request elsewhere whose dispatch never left this host.
-    fn send_elsewhere(&mut self, request: request::Request<request::Dispatched>) {
-        if let Some(claim) = request.state.claim.filter(|_| request.state.is_abandoned) {
-            self.release(claim);
-            self.give_up(&request);
-            return;
-        }
-        let number = request.state.number;
-        if request.state.plan.attempts >= ATTEMPTS_MAX || request.state.claim.is_none() {
-            self.retry(request, Cost::Free);
-            return;
-        }
-        // The next dispatch opens a number of its own; this one was never run.
-        self.notes.close(number);
-        match request.unsent() {
-            request::Unsent::Claimed(request) => self.dispatch_claimed(request),
-            request::Unsent::Admitted(request) => self.dispatch_admitted(request),
-        }
-    }
-
-    fn retry(&mut self, request: request::Request<request::Dispatched>, cost: Cost) {
-        let has_attempts = request.state.plan.attempts < ATTEMPTS_MAX;
-        let has_time = self.now.mono_ms < request.state.plan.deadline_ms;
-        let may_retry = !request.state.is_abandoned && has_attempts && has_time;
-        if !may_retry || (cost == Cost::Budget && !self.retries.spend()) {
-            self.give_up(&request);
-            return;
-        }
-        self.counters.add(counter::Counter::Retried);
-        self.dispatch_next(request, true);
-    }
-
-    /// Dispatches once more, with the same stage or the next one.
-    fn dispatch_next(
-        &mut self,
-        mut request: request::Request<request::Dispatched>,
-        is_same_stage: bool,
-    ) {
-        let ticket = request.head.ticket;
-        let attempt = request.state.attempt;
-        if !is_same_stage || request.state.is_held {
-            self.act(action::Action::Discard { ticket, attempt });
-        }
-        let head = Arc::clone(&request.head);
-        let route = match self.route(&head, &mut request.state.plan) {
-            Ok(route) => route,
-            Err(reason) => {
-                self.log(action::Level::Info, format!("no further attempt: {}", reason.code()));
-                self.give_up(&request);
-                return;
-            }
-        };
-        let number = Some(request.state.number);
-        let sent = self.sent(&route, &mut request.state.plan, number);
-        match request.dispatch_again(sent) {
-            Ok(request) => self.start(request, route, false),
-            Err(request) => {
-                self.breach("a claimed request would be dispatched twice");
-                self.give_up(&request);
-            }
-        }
-    }
-
-    fn give_up(&mut self, request: &request::Request<request::Dispatched>) {
-        if !request.state.is_abandoned {
-            self.tell_failure(request);
-        }
-        self.bill(request, 0, entry::Ending::Failed);
-    }
-
-    fn tell_failure(&mut self, request: &request::Request<request::Dispatched>) {
-        let failure = request.failure(FAILED_RETRY_MS);
-        self.counters.add(match failure {
-            refusal::Failure::OutcomeUnknown => counter::Counter::OutcomeUnknown,
-            _ => counter::Counter::Failed,
-        });
-        self.act(action::Action::Fail { ticket: request.head.ticket, failure });
-    }
-
-    /// Ends a request that nobody waits for; one that may not be repeated runs to its end.
-    fn abandon(&mut self, mut request: request::Request<request::Dispatched>) {
-        if request.state.claim.is_some() {
-            request.state.is_abandoned = true;
-            self.requests.insert(request.head.ticket, Live::Running(request));
-            return;
-        }
-        if !request.state.is_attempt_over {
-            let (ticket, attempt) = (request.head.ticket, request.state.attempt);
-            self.act(action::Action::Cancel { ticket, attempt });
-            let outcome = balance::Outcome::Fine;
-            self.balancer.end(request.state.server, outcome, self.now.mono_ms);
-        }
-        self.poison.end(request.head.content);
-        self.bill(&request, 0, entry::Ending::Failed);
-    }
-
-    fn bill(
-        &mut self,
-        request: &request::Request<request::Dispatched>,
-        tokens: u64,
-        ending: entry::Ending,
-    ) {
-        let bill = entry::Bill {
-            id: entry::BillId { host: self.id(), number: request.state.number },
-            organisation: Arc::from(request.state.plan.organisation.as_str()),
-            item: Arc::clone(&request.state.item),
-            tokens,
-            cost_microcents: match ending {
-                entry::Ending::Answered => self.cost_microcents(request, tokens),
-                entry::Ending::Failed | entry::Ending::Interrupted => 0,
-            },
-            ending,
-        };
-        self.notes.bill(bill.clone());
-        self.submit_bill(bill);
-    }
-
-    fn cost_microcents(&self, request: &request::Request<request::Dispatched>, tokens: u64) -> u64 {
-        let document = self.catalogue.document();
-        match &request.state.plan.work {
-            request::Work::Model { stages, stage, .. } => stages
-                .get(*stage)
-                .and_then(|model| document.models.get(model))
-                .map_or(0, |model| (model.cost_microcents_per_kilotoken * tokens).div_ceil(1_000)),
-            request::Work::Service { name, .. } => {
-                document.services.get(name).map_or(0, |service| service.cost_microcents_per_call)
-            }
-        }
-    }
-}
-
-/// What the end of an attempt says about its server.
-fn outcome_of(end: &event::AttemptEnd) -> balance::Outcome {
-    let event::AttemptEnd::Failed { fault, .. } = end else {
-        return balance::Outcome::Fine;
-    };
-    match fault {
-        event::Fault::TooLong | event::Fault::Declined => balance::Outcome::Fine,
-        event::Fault::NotSent | event::Fault::Crashed => balance::Outcome::Unreachable,
-        event::Fault::Cut | event::Fault::Silent | event::Fault::ErrorStatus => {
-            balance::Outcome::Failed
-        }
-    }
 }
 
 /// The digest of an organisation, a service and an idempotency key.
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -249,7 +249,7 @@
             }
             Happening::PlatformAppliesLate { call } => drop(self.platform.execute(&call)),
             Happening::BackendEnds { slot, run, dispatch } => {
-                self.backend_ends(slot, run, &dispatch)
+                self.backend_ends(slot, run, &dispatch);
             }
             Happening::CallerSends => self.caller_sends(),
             Happening::CallerResends { request } => self.caller_resends(request),
--- a/crates/daemon/tests/failures.rs
+++ b/crates/daemon/tests/failures.rs
@@ -60,7 +60,7 @@
             again.status == 409 && again.error_type() == "outcome_unknown"
         })
         .await;
-    fleet.restart(0).await;
+    fleet.restart(0);
     fleet.wait_ready(0).await;
     let again = fleet.book(0, "k", "slot 7").await.expect("an answer");
     assert_eq!(again.error_type(), "outcome_unknown");
@@ -213,7 +213,7 @@
 async fn a_host_that_starts_in_an_outage_takes_the_configuration_from_its_peers() {
     let mut fleet = Fleet::start(3).await;
     fleet.platform.set_faults(platform::Faults { is_out: true, ..platform::Faults::default() });
-    fleet.restart(2).await;
+    fleet.restart(2);
     fleet.wait_ready(2).await;
     assert_eq!(fleet.chat(2, "knots", 2).await.status, 200);
 }
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -28,7 +28,7 @@
 /// The organisation's key.
 pub const KEY: &str = "a-key-of-the-test";
 /// How long a test waits for something that has no bound of its own.
-const PATIENCE: time::Duration = time::Duration::from_secs(60);
+const PATIENCE: time::Duration = time::Duration::from_mins(1);
 const SHARDS: u32 = 2;
 
 type Body = http_body_util::Full<bytes::Bytes>;
@@ -187,7 +187,7 @@
     }
 
     /// Replaces a daemon by a new one with the same settings.
-    pub async fn restart(&mut self, index: usize) {
+    pub fn restart(&mut self, index: usize) {
         let peer = self.hosts[index].peer;
         self.hosts[index].child.kill().unwrap_or_default();
         self.hosts[index].child.wait().map(drop).unwrap_or_default();
@@ -235,9 +235,8 @@
     {
         let started = time::Instant::now();
         while !is_so().await {
-            if started.elapsed() >= PATIENCE {
-                panic!("waited in vain for {what}\n{}", self.logs());
-            }
+            let has_time = started.elapsed() < PATIENCE;
+            assert!(has_time, "waited in vain for {what}\n{}", self.logs());
             tokio::time::sleep(time::Duration::from_millis(20)).await;
         }
     }
