--- a/crates/coordination/src/ledger/backup.rs
+++ b/crates/coordination/src/ledger/backup.rs
@@ -37,7 +37,7 @@
 
 /// Whether another host has a copy of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Copy {
+pub enum CopyState {
     /// It has, or none is needed any more.
     Kept,
     /// The backup has not said so yet.
@@ -122,16 +122,16 @@
 
     /// Whether another host has a copy of a request.
     #[must_use]
-    pub fn copy_of(&self, number: u64) -> Copy {
-        let Some(open) = self.open.get(&number) else { return Copy::Kept };
+    pub fn copy_of(&self, number: u64) -> CopyState {
+        let Some(open) = self.open.get(&number) else { return CopyState::Kept };
         let is_live =
             |host: &identity::HostId| self.backup == Some(*host) || self.former.contains_key(host);
         if open.kept_by.iter().any(is_live) {
-            Copy::Kept
+            CopyState::Kept
         } else if self.backup.is_some() {
-            Copy::Awaited
+            CopyState::Awaited
         } else {
-            Copy::Nowhere
+            CopyState::Nowhere
         }
     }
 
--- a/crates/coordination/tests/backup.rs
+++ b/crates/coordination/tests/backup.rs
@@ -28,9 +28,9 @@
         (backup::Notes::new(), backup::Vault::new(), backup::Vault::new());
     notes.set_backup(Some(FIRST));
     notes.open(0, Arc::from("org"));
-    assert_eq!(notes.copy_of(0), backup::Copy::Awaited);
+    assert_eq!(notes.copy_of(0), backup::CopyState::Awaited);
     assert!(pass(&mut notes, &mut first, 0));
-    assert_eq!(notes.copy_of(0), backup::Copy::Kept);
+    assert_eq!(notes.copy_of(0), backup::CopyState::Kept);
     notes.set_backup(Some(SECOND));
     assert!(notes.due_to_forget(1).is_empty());
     assert!(pass(&mut notes, &mut second, 2));
@@ -77,5 +77,5 @@
 fn a_host_without_others_has_no_copy_and_knows_it() {
     let mut notes = backup::Notes::new();
     notes.open(0, Arc::from("org"));
-    assert_eq!(notes.copy_of(0), backup::Copy::Nowhere);
+    assert_eq!(notes.copy_of(0), backup::CopyState::Nowhere);
 }
--- a/crates/core/src/host/traffic.rs
+++ b/crates/core/src/host/traffic.rs
@@ -132,7 +132,7 @@
         for (ticket, live) in &self.requests {
             let Live::Finishing(request) = live else { continue };
             let copy = self.notes.copy_of(request.state.number);
-            if copy != backup::Copy::Awaited || now_ms >= request.state.give_up_ms {
+            if copy != backup::CopyState::Awaited || now_ms >= request.state.give_up_ms {
                 done.push((*ticket, request.state.attempt, copy));
             }
         }
@@ -140,7 +140,7 @@
         for (ticket, attempt, copy) in done {
             self.requests.remove(&ticket);
             self.counters.add(counter::Counter::Answered);
-            if copy != backup::Copy::Kept {
+            if copy != backup::CopyState::Kept {
                 self.counters.add(counter::Counter::FinishedWithoutBackup);
             }
             self.act(action::Action::Finish { ticket, attempt });
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -55,6 +55,12 @@
         self.body.clone()
     }
 
+    /// The id that the caller sees with its answer.
+    #[must_use]
+    pub fn request_id(&self) -> &str {
+        &self.request_id
+    }
+
     /// Whether the caller has seen the head.
     #[must_use]
     pub fn has_head(&self) -> bool {
--- a/crates/daemon/src/forward.rs
+++ b/crates/daemon/src/forward.rs
@@ -170,11 +170,19 @@
         let ticket = self.head.ticket;
         let attempt = dispatch.attempt;
         let server = dispatch.server;
+        let note = format!(
+            "request {} of {} as {} on {server} by revision {}, attempt {attempt}",
+            self.sink.request_id(),
+            dispatch.organisation,
+            dispatch.item,
+            dispatch.revision,
+        );
         let mut runner = Attempt::new(self, dispatch);
         let outcome = runner.run().await;
         let is_over = runner.is_over;
         let outcome = self.tell_crash(outcome, server).await;
         if let Outcome::Ended(end) = outcome {
+            log::debug!(target: "toucanwall", "{note}: {}", ending(&end));
             self.inputs.event(event::Event::AttemptEnded { ticket, attempt, end });
         }
         if is_over { Next::End } else { Next::Command }
@@ -396,6 +404,14 @@
     }
 }
 
+/// How an attempt ended, for the log.
+fn ending(end: &event::AttemptEnd) -> String {
+    match end {
+        event::AttemptEnd::Answered { tokens, .. } => format!("answered with {tokens} tokens"),
+        event::AttemptEnd::Failed { fault, .. } => format!("failed: {fault:?}"),
+    }
+}
+
 /// An answer that is no answer to the request.
 fn fault_of(parts: &hyper::http::response::Parts) -> Option<event::Fault> {
     if header(parts, "x-not-run").is_some() {
