--- a/crates/standin/examples/callers.rs
+++ b/crates/standin/examples/callers.rs
@@ -68,16 +68,21 @@
     );
     let (first, second) = (hosts[0], hosts[1 % hosts.len()]);
     let chat = chat(client, arguments, first, "which knot for a wet line?", 24, None).await?;
-    row("a short chat", &chat, "met the target on the cheap model");
+    row("a short chat", &chat, "");
     let token = chat.session.clone();
     let again = self::chat(client, arguments, second, "and for a thin one?", 24, token).await?;
-    row("the same session, another host", &again, "same version");
+    let note = if again.item == chat.item { "same version" } else { "ANOTHER VERSION" };
+    row("the same session, another host", &again, note);
     let hard =
         self::chat(client, arguments, first, "a hard question on line tension", 24, None).await?;
-    row("a hard chat", &hard, "replaced by the strong model");
+    let is_replaced = hard.item != chat.item;
+    let note = if is_replaced { "replaced by the strong model" } else { "" };
+    row("a hard chat", &hard, note);
     let draft =
         self::chat(client, arguments, second, "hard: draft the season rulebook", 400, None).await?;
-    let note = format!("whole: {} events and the end mark", draft.body.matches("data: {").count());
+    let events = draft.body.matches("data: {").count();
+    let is_whole = draft.body.ends_with("data: [DONE]\n\n");
+    let note = format!("{events} events, {}", if is_whole { "whole" } else { "NOT WHOLE" });
     row("a long draft", &draft, &note);
     let key = format!("tour-{}", std::process::id());
     let booking = call(client, arguments, first, &key).await?;
