--- a/crates/coordination/src/membership/message.rs
+++ b/crates/coordination/src/membership/message.rs
@@ -71,7 +71,7 @@
     },
 }
 
-/// What the caller of [`Membership`] is to do.
+/// What the caller of [`Membership`](super::Membership) is to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
     /// Send a message to another host.
--- a/crates/coordination/src/membership/mod.rs
+++ b/crates/coordination/src/membership/mod.rs
@@ -1,6 +1,7 @@
 //! Membership by gossip, with suspicion and incarnation numbers.
 
 mod message;
+mod rumours;
 
 use std::cmp;
 use std::collections;
@@ -33,8 +34,6 @@
 const INDIRECT_PROBES: usize = 3;
 /// Silent addresses that are tried at a time.
 const KNOCKS_MAX: usize = 2;
-/// Most updates carried by one message.
-const UPDATES_MAX: usize = 8;
 
 /// A member as seen by this host.
 #[derive(Debug, Clone)]
@@ -70,7 +69,7 @@
     probe: Option<Probe>,
     probe_order: Vec<identity::HostId>,
     relays: collections::BTreeMap<u64, Relay>,
-    rumours: collections::BTreeMap<identity::HostId, u32>,
+    rumours: rumours::Rumours,
     next_probe_ms: u64,
     next_sync_ms: u64,
     next_rejoin_ms: u64,
@@ -100,7 +99,7 @@
             probe: None,
             probe_order: Vec::new(),
             relays: collections::BTreeMap::new(),
-            rumours: collections::BTreeMap::new(),
+            rumours: rumours::Rumours::default(),
             next_probe_ms,
             next_sync_ms,
             next_rejoin_ms: now_ms,
@@ -330,7 +329,7 @@
             && member.record.status == Status::Suspect
         {
             member.since_ms = now_ms;
-            self.rumours.insert(probe.target, 0);
+            self.rumours.start(probe.target);
             let record = self.members[&probe.target].record.clone();
             let to = record.info.peer_address;
             let target = record.info.id;
@@ -449,7 +448,7 @@
             me.record.status = if leaving { Status::Leaving } else { Status::Alive };
             me.since_ms = now_ms.max(me.since_ms);
         }
-        self.rumours.insert(self.me, 0);
+        self.rumours.start(self.me);
     }
 
     fn outranks(&self, record: &Record) -> bool {
@@ -475,7 +474,7 @@
             return;
         }
         self.members.insert(host, Member { record, since_ms: now_ms });
-        self.rumours.insert(host, 0);
+        self.rumours.start(host);
         if known != Some(status) {
             effects.push(Effect::Changed { host, status });
         }
@@ -510,22 +509,10 @@
         }
     }
 
-    /// Takes the least-told rumours and counts them as told once more.
+    /// Records that are to be told next.
     fn take_updates(&mut self) -> Vec<Record> {
-        let tellings_max = 3 * ((self.members.len() + 1).ilog2() + 1);
-        let mut told: Vec<(u32, identity::HostId)> =
-            self.rumours.iter().map(|(host, count)| (*count, *host)).collect();
-        told.sort_unstable();
-        told.truncate(UPDATES_MAX);
-        let mut updates = Vec::new();
-        for (count, host) in told {
-            if count + 1 >= tellings_max {
-                self.rumours.remove(&host);
-            } else {
-                self.rumours.insert(host, count + 1);
-            }
-            updates.extend(self.members.get(&host).map(|member| member.record.clone()));
-        }
-        updates
+        let hosts = self.rumours.take(self.members.len());
+        let known = hosts.iter().filter_map(|host| self.members.get(host));
+        known.map(|member| member.record.clone()).collect()
     }
 }
--- /dev/null
+++ b/crates/coordination/src/membership/rumours.rs
@@ -0,0 +1,41 @@
+//! News about members on its way through the hosts.
+
+use std::collections;
+
+use crate::identity;
+
+/// Most updates carried by one message.
+const UPDATES_MAX: usize = 8;
+
+/// Members whose record changed lately, and how often each was told.
+#[derive(Debug, Default)]
+pub struct Rumours {
+    told: collections::BTreeMap<identity::HostId, u32>,
+}
+
+impl Rumours {
+    /// Starts to tell of a member, from the beginning if it is told of already.
+    pub fn start(&mut self, host: identity::HostId) {
+        self.told.insert(host, 0);
+    }
+
+    /// Takes the least-told members and counts them as told once more.
+    ///
+    /// A member is told of about three times the logarithm of `members`, which reaches every
+    /// host with high probability; exchanges of the whole list mend the rest.
+    pub fn take(&mut self, members: usize) -> Vec<identity::HostId> {
+        let tellings_max = 3 * ((members + 1).ilog2() + 1);
+        let mut least: Vec<(u32, identity::HostId)> =
+            self.told.iter().map(|(host, count)| (*count, *host)).collect();
+        least.sort_unstable();
+        least.truncate(UPDATES_MAX);
+        for (count, host) in &least {
+            if count + 1 >= tellings_max {
+                self.told.remove(host);
+            } else {
+                self.told.insert(*host, count + 1);
+            }
+        }
+        least.into_iter().map(|(_, host)| host).collect()
+    }
+}
