--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -23,7 +23,7 @@
 use toucanwall_platform_standin::proxy;
 use toucanwall_platform_standin::store;
 
-const HOSTS: usize = 3;
+const HOSTS: usize = 5;
 const DESKS: usize = 3;
 const ENGINES: usize = 3;
 /// Path of requests that may not be repeated.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,5 +1,7 @@
-//! The control thread: follows the store, publishes views and acts on roll-outs.
+//! The control thread: hears of the store, publishes views and acts on roll-outs.
 
+use std::collections;
+use std::net;
 use std::sync::Arc;
 use std::thread;
 use std::time;
@@ -14,21 +16,15 @@
 use toucanwall_routing::view;
 
 use crate::clock;
-use crate::follower;
+use crate::feed;
 use crate::metrics;
-use crate::pulse;
-use crate::reach;
+use crate::news;
 use crate::registrar;
+use crate::relay;
 use crate::rollouts;
 
 /// Time between two looks at what is due, in milliseconds.
 const TICK_MS: u64 = 100;
-/// Part of a bound for which changes gather before they are asked for again: one call then tells of
-/// many, and most of the bound is left.
-const GATHER_PART: u64 = 4;
-/// Time for which changes of hosts gather, in milliseconds: all of them start together, and callers
-/// keep addresses for longer than that.
-const HOSTS_GATHER_MS: u64 = 2_000;
 /// Time that a host leaves the steps of a roll-out to each host that ranks before it, in
 /// milliseconds: several times what a write takes, so that mostly one host writes.
 const RANK_DELAY_MS: u64 = 200;
@@ -69,14 +65,24 @@
 
 /// Starts the control thread.
 ///
+/// Other hosts connect at `peer_listener`.
+///
 /// # Errors
 /// The thread cannot be started.
-pub fn start(inputs: Inputs) -> std::io::Result<Commands> {
+pub fn start(inputs: Inputs, peer_listener: net::TcpListener) -> std::io::Result<Commands> {
     let (sender, receiver) = tokio::sync::mpsc::unbounded_channel();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || runtime.block_on(async { Control::new(inputs).run(receiver).await }))?;
+    let peer_listener = {
+        let _inside = runtime.enter();
+        tokio::net::TcpListener::from_std(peer_listener)?
+    };
+    thread::Builder::new().name("control".to_owned()).spawn(move || {
+        runtime.block_on(async {
+            let control = Control::new(inputs);
+            tokio::spawn(Arc::clone(&control.relay).accept(peer_listener));
+            control.run(receiver).await;
+        });
+    })?;
     Ok(sender)
 }
 
@@ -86,6 +92,10 @@
     inputs: Inputs,
     knowledge: knowledge::Knowledge,
     orders: tokio::sync::mpsc::UnboundedSender<registrar::Order>,
+    /// Passes what this host hears on to others.
+    relay: Arc<relay::Relay>,
+    /// The store's revision of what is known, by kind.
+    revisions: collections::BTreeMap<object::Kind, u64>,
     /// What was last written about roll-outs, and when.
     written: Vec<(rollout::Rollout, u64)>,
 }
@@ -100,7 +110,15 @@
             Arc::clone(&inputs.metrics),
         );
         tokio::spawn(registrar.run(receiver));
-        Self { inputs, knowledge: knowledge::Knowledge::new(), orders, written: Vec::new() }
+        let relay = Arc::new(relay::Relay::new(&inputs.host));
+        Self {
+            inputs,
+            knowledge: knowledge::Knowledge::new(),
+            orders,
+            relay,
+            revisions: collections::BTreeMap::new(),
+            written: Vec::new(),
+        }
     }
 
     async fn run(mut self, mut commands: tokio::sync::mpsc::UnboundedReceiver<Command>) {
@@ -128,25 +146,18 @@
         }
     }
 
-    fn follow(&self, news: &tokio::sync::mpsc::UnboundedSender<follower::News>) {
-        let settings = &self.inputs.settings;
-        let address = settings.store_address;
-        let reach = reach::Shared::new();
-        let metrics = || Arc::clone(&self.inputs.metrics);
-        let host = settings.host.as_str().into();
-        let pulse = pulse::Pulse::new(address, host, reach.clone(), news.clone(), metrics());
-        tokio::spawn(pulse.run());
-        for (kind, gather_ms) in [
-            (object::Kind::Configuration, settings.bounds.config_apply_ms / GATHER_PART),
-            (object::Kind::Servers, settings.bounds.drain_ms / GATHER_PART),
-            (object::Kind::Rollouts, 0),
-            (object::Kind::Hosts, HOSTS_GATHER_MS),
-        ] {
-            let reach = reach.clone();
-            let follower =
-                follower::Follower::new(kind, address, gather_ms, reach, news.clone(), metrics());
-            tokio::spawn(follower.run());
-        }
+    /// Starts to hear of changes, and to pass them on to other hosts.
+    fn follow(&self, news: &tokio::sync::mpsc::UnboundedSender<news::News>) {
+        let feed = feed::Feed::new(feed::Inputs {
+            settings: Arc::clone(&self.inputs.settings),
+            host: Arc::new(self.inputs.host.clone()),
+            clock: self.inputs.clock,
+            relay: Arc::clone(&self.relay),
+            view: self.inputs.views.subscribe(),
+            news: news.clone(),
+            metrics: Arc::clone(&self.inputs.metrics),
+        });
+        tokio::spawn(feed.run());
     }
 
     fn obey(&mut self, command: Command) {
@@ -165,26 +176,47 @@
         }
     }
 
-    fn hear(&mut self, news: follower::News) {
+    fn hear(&mut self, news: news::News) {
         let now_ms = self.inputs.clock.now_ms();
+        self.relay.hear(&news);
         match news {
-            follower::News::Listed(kind, objects) => self.take_list(kind, &objects, now_ms),
-            follower::News::Changed(kind, changes) => {
-                for change in &changes {
-                    self.take_change(kind, change, now_ms);
+            news::News::Listed(news::Listing { kind, revision, objects }) => {
+                if self.is_new(kind, revision) {
+                    self.take_list(kind, &objects, now_ms);
                 }
             }
-            follower::News::Outage(why) => {
+            news::News::Changed(news::Difference { kind, revision, changes, .. }) => {
+                if self.is_new(kind, revision) {
+                    for change in &changes {
+                        self.take_change(kind, change, now_ms);
+                    }
+                }
+            }
+            news::News::Outage(why) => {
                 self.knowledge.store_failed(now_ms);
                 log::warn!(target: "toucanwall", why = why; "store lost");
             }
-            follower::News::Answered => {
+            news::News::Answered => {
                 self.knowledge.store_answered(now_ms);
                 log::info!(target: "toucanwall", "store reached");
             }
         }
     }
 
+    /// Whether news of a kind are no older than what is known: another source may be behind.
+    fn is_new(&mut self, kind: object::Kind, revision: u64) -> bool {
+        let known = self.revisions.entry(kind).or_default();
+        if revision < *known {
+            log::info!(
+                target: "toucanwall", kind = kind.as_str(), revision = revision, known = *known;
+                "older news passed over"
+            );
+            return false;
+        }
+        *known = revision;
+        true
+    }
+
     fn take_list(&mut self, kind: object::Kind, objects: &[object::Object], now_ms: u64) {
         log::info!(target: "toucanwall", kind = kind.as_str(), objects = objects.len(); "list read");
         match kind {
@@ -206,7 +238,8 @@
                 self.knowledge.replace_rollouts(rollouts.collect());
             }
             object::Kind::Hosts => {
-                self.knowledge.replace_hosts(objects.iter().filter_map(decode_host).collect());
+                self.knowledge
+                    .replace_hosts(objects.iter().filter_map(feed::decode_host).collect());
             }
         }
     }
@@ -251,7 +284,7 @@
             },
             (object::Kind::Rollouts, true) => self.knowledge.remove_rollout(name),
             (object::Kind::Hosts, false) => {
-                if let Some(host) = decode_host(&change.object) {
+                if let Some(host) = feed::decode_host(&change.object) {
                     self.knowledge.put_host(host);
                 }
             }
@@ -323,10 +356,6 @@
     }
 }
 
-fn decode_host(object: &object::Object) -> Option<host::EntryHost> {
-    serde_json::from_str(object.spec_text()).map_err(|error| log_malformed(&error)).ok()
-}
-
 fn log_malformed<E>(error: &E)
 where
     E: std::error::Error,
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -9,6 +9,7 @@
 use toucanwall_platform::store;
 
 use crate::metrics;
+use crate::news;
 use crate::reach;
 
 /// Time that a call waits for a change, in milliseconds: half of what the store allows, since each
@@ -25,19 +26,6 @@
 /// store's return a host hears of it.
 const PAUSE_MAX_MS: u64 = 500;
 
-/// What the control thread hears of the store.
-#[derive(Debug)]
-pub enum News {
-    /// The whole list of a kind.
-    Listed(object::Kind, Vec<object::Object>),
-    /// Changes of a kind.
-    Changed(object::Kind, Vec<object::Change>),
-    /// The store does not answer this host.
-    Outage(String),
-    /// The store answers this host again.
-    Answered,
-}
-
 /// Follows one kind until nobody listens any more.
 #[derive(Debug)]
 pub struct Follower {
@@ -46,7 +34,7 @@
     /// Time for which changes gather after some have come, in milliseconds.
     gather_ms: u64,
     reach: reach::Shared,
-    news: tokio::sync::mpsc::UnboundedSender<News>,
+    news: tokio::sync::mpsc::UnboundedSender<news::News>,
     metrics: Arc<metrics::Metrics>,
     /// Revision up to which changes are known; nothing before the first list.
     revision: Option<u64>,
@@ -70,7 +58,7 @@
         address: net::SocketAddr,
         gather_ms: u64,
         reach: reach::Shared,
-        news: tokio::sync::mpsc::UnboundedSender<News>,
+        news: tokio::sync::mpsc::UnboundedSender<news::News>,
         metrics: Arc<metrics::Metrics>,
     ) -> Self {
         let store = store::Store::new(address);
@@ -114,14 +102,14 @@
         }
     }
 
-    async fn call(&mut self) -> Result<Option<News>, store::StoreError> {
+    async fn call(&mut self) -> Result<Option<news::News>, store::StoreError> {
         match self.revision {
             None => self.list().await.map(Some),
             Some(revision) => self.watch(revision).await,
         }
     }
 
-    async fn pass_on(&mut self, news: News) -> Next {
+    async fn pass_on(&mut self, news: news::News) -> Next {
         self.failures = 0;
         if self.news.send(news).is_err() {
             return Next::Stop;
@@ -159,7 +147,7 @@
         self.settles_until = tokio::time::Instant::now() + time::Duration::from_millis(SETTLE_MS);
     }
 
-    async fn list(&mut self) -> Result<News, store::StoreError> {
+    async fn list(&mut self) -> Result<news::News, store::StoreError> {
         let mut objects: Vec<object::Object> = Vec::new();
         let mut revision = None;
         loop {
@@ -167,21 +155,28 @@
             let page = self.store.list(self.kind, after.as_deref()).await?;
             let is_last = !page.more || page.entries.is_empty();
             // Changes after the first page may be missing in the later ones.
-            revision = revision.or(Some(page.revision));
+            let revision = *revision.get_or_insert(page.revision);
             objects.extend(page.entries);
             if is_last {
-                self.advance(revision);
-                return Ok(News::Listed(self.kind, objects));
+                self.advance(Some(revision));
+                let listing = news::Listing { kind: self.kind, revision, objects };
+                return Ok(news::News::Listed(listing));
             }
         }
     }
 
-    async fn watch(&mut self, revision: u64) -> Result<Option<News>, store::StoreError> {
+    async fn watch(&mut self, revision: u64) -> Result<Option<news::News>, store::StoreError> {
         let is_settled = tokio::time::Instant::now() >= self.settles_until;
         let wait_ms = if is_settled { WAIT_MS } else { SETTLE_WAIT_MS };
         let changes = self.store.watch(self.kind, revision, wait_ms).await?;
-        self.advance(Some(changes.revision.max(revision)));
-        let has_events = !changes.events.is_empty();
-        Ok(has_events.then_some(News::Changed(self.kind, changes.events)))
+        let difference = news::Difference {
+            kind: self.kind,
+            after: revision,
+            revision: changes.revision.max(revision),
+            changes: changes.events,
+        };
+        self.advance(Some(difference.revision));
+        let has_changes = !difference.changes.is_empty();
+        Ok(has_changes.then_some(news::News::Changed(difference)))
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     attempts_failed: Counters,
     connections: Counters,
     store_calls: Counters,
+    sources: Counters,
     answer_seconds: histogram::Histogram,
     first_byte_seconds: histogram::Histogram,
     configuration_version: gauge::Gauge,
@@ -50,6 +51,9 @@
         registry.register("server_connections", "connections by age", connections.clone());
         let store_calls = Counters::default();
         registry.register("store_calls", "calls to the platform's store", store_calls.clone());
+        let sources = Counters::default();
+        let help = "times that a host began to hear of changes from a source";
+        registry.register("news_sources", help, sources.clone());
         let answer_seconds = histogram::Histogram::new(LATENCY_BUCKETS_S);
         let help = "time until an answer, or until the first event of a stream";
         registry.register("answer_seconds", help, answer_seconds.clone());
@@ -70,6 +74,7 @@
             attempts_failed,
             connections,
             store_calls,
+            sources,
             answer_seconds,
             first_byte_seconds,
             configuration_version,
@@ -127,6 +132,11 @@
         self.store_calls.get_or_create(&vec![("kind", kind), ("outcome", outcome)]).inc();
     }
 
+    /// Notes that the host hears of changes from the store or from another host now.
+    pub fn source(&self, source: &'static str) {
+        self.sources.get_or_create(&vec![("source", source)]).inc();
+    }
+
     /// Notes the time until a server's first byte.
     pub fn first_byte(&self, waited_ms: u64) {
         self.first_byte_seconds.observe(seconds(waited_ms));
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -21,6 +21,8 @@
 #[derive(Debug, Clone)]
 pub struct Shared {
     reach: tokio::sync::watch::Sender<Reach>,
+    /// When the newest call that the store answered was made.
+    answered_at: Arc<std::sync::Mutex<tokio::time::Instant>>,
     /// When the epoch was last raised.
     doubted_at: Arc<std::sync::Mutex<Option<tokio::time::Instant>>>,
     /// Revision up to which the changes of the configuration are known; zero before the first.
@@ -34,11 +36,29 @@
         let (reach, _) = tokio::sync::watch::channel(Reach { is_up: true, epoch: 0 });
         Self {
             reach,
+            answered_at: Arc::new(std::sync::Mutex::new(tokio::time::Instant::now())),
             doubted_at: Arc::new(std::sync::Mutex::new(None)),
             configuration_revision: Arc::new(atomic::AtomicU64::new(0)),
         }
     }
 
+    /// Whether the store answers.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        self.reach.borrow().is_up
+    }
+
+    /// Time since the newest call that the store answered was made.
+    #[must_use]
+    pub fn age(&self) -> time::Duration {
+        self.lock_answered().elapsed()
+    }
+
+    /// Notes that the store answered a call that was made at a moment.
+    pub fn answered(&self, called_at: tokio::time::Instant) {
+        *self.lock_answered() = called_at;
+    }
+
     /// Hears of changes.
     #[must_use]
     pub fn subscribe(&self) -> tokio::sync::watch::Receiver<Reach> {
@@ -69,6 +89,10 @@
         }
     }
 
+    fn lock_answered(&self) -> std::sync::MutexGuard<'_, tokio::time::Instant> {
+        self.answered_at.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
     /// Notes up to which revision the changes of the configuration are known.
     pub fn set_configuration_revision(&self, revision: u64) {
         self.configuration_revision.store(revision, atomic::Ordering::Relaxed);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -110,6 +110,10 @@
     let metrics = Arc::new(metrics::Metrics::new());
     let rollouts = Arc::new(rollouts::Rollouts::new(settings.bounds.exposure_fraction));
     let (views, view) = tokio::sync::watch::channel(Arc::new(view::View::default()));
+    let address = settings.peer_address;
+    let peer_listener = net::TcpListener::bind(address)
+        .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
+        .map_err(|error| RunError::Listen { what: "other hosts", address, error })?;
     let inputs = control::Inputs {
         settings: Arc::clone(&settings),
         host,
@@ -118,7 +122,8 @@
         rollouts: Arc::clone(&rollouts),
         metrics: Arc::clone(&metrics),
     };
-    let commands = control::start(inputs).map_err(|error| RunError::Start(error.to_string()))?;
+    let commands = control::start(inputs, peer_listener)
+        .map_err(|error| RunError::Start(error.to_string()))?;
     let traffic =
         Arc::new(traffic::Traffic::new(Arc::clone(&settings), clock, view, rollouts, metrics));
     let (closing, closed) = tokio::sync::watch::channel(false);
@@ -239,6 +244,7 @@
         peer_address: settings.peer_address,
         data_centre: settings.data_centre.clone(),
         region: settings.region.clone(),
+        cpu_millicores: settings.cpu_millicores,
         phase: host::Phase::Serving,
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod limit;
 pub mod placement;
 pub mod poison;
+pub mod relay;
 pub mod repeats;
 pub mod retry;
 pub mod rollout;
--- a/crates/routing/src/host.rs
+++ b/crates/routing/src/host.rs
@@ -25,6 +25,9 @@
     pub data_centre: name::DataCentre,
     /// Region of the data centre.
     pub region: name::Region,
+    /// Processor time that it has, in thousandths of a core; zero if its entry does not say.
+    #[serde(default)]
+    pub cpu_millicores: u64,
     /// What it does.
     pub phase: Phase,
 }
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -25,6 +25,8 @@
     pub metrics_address: net::SocketAddr,
     /// The platform's store.
     pub store_address: net::SocketAddr,
+    /// Processor time that the host has, in thousandths of a core.
+    pub cpu_millicores: u64,
     /// Bounds that the platform promises and expects.
     pub bounds: Bounds,
 }
