--- a/crates/core/tests/world/platform.rs
+++ b/crates/core/tests/world/platform.rs
@@ -1,4 +1,4 @@
-//! A fake of the platform's object API.
+//! A fake of the platform's store.
 
 use std::collections;
 use std::sync::Arc;
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -34,7 +34,7 @@
     Diff {
         /// The document, in YAML or JSON.
         document: path::PathBuf,
-        /// The platform's object API.
+        /// The platform's store.
         #[arg(long)]
         platform: net::SocketAddr,
     },
@@ -51,7 +51,7 @@
         /// Where browsers connect.
         #[arg(long)]
         listen: net::SocketAddr,
-        /// The platform's object API.
+        /// The platform's store.
         #[arg(long)]
         platform: net::SocketAddr,
         /// The admin address of any host, to show which hosts have a change in force.
@@ -60,7 +60,7 @@
     },
     /// Print the document in force.
     Show {
-        /// The platform's object API.
+        /// The platform's store.
         #[arg(long)]
         platform: net::SocketAddr,
     },
@@ -73,7 +73,7 @@
     },
     /// Show who changed what, when and why.
     Trail {
-        /// The platform's object API.
+        /// The platform's store.
         #[arg(long)]
         platform: net::SocketAddr,
         /// Only changes after this revision.
@@ -98,7 +98,7 @@
 pub struct Apply {
     /// The document, in YAML or JSON.
     pub document: path::PathBuf,
-    /// The platform's object API.
+    /// The platform's store.
     #[arg(long)]
     pub platform: net::SocketAddr,
     /// Who makes the change.
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -7,7 +7,7 @@
 
 use http_body_util::BodyExt as _;
 use rstest::rstest;
-use toucanwall_standin::platform;
+use toucanwall_platform_standin::store;
 
 type Body = http_body_util::Full<bytes::Bytes>;
 
@@ -24,23 +24,16 @@
     (output.status.code(), String::from_utf8_lossy(&text).into_owned())
 }
 
-async fn start_platform() -> (platform::Platform, toucanwall_standin::server::Running) {
-    let platform = platform::Platform::new();
-    let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
-    let running = platform.serve(any).await.expect("a free port");
-    (platform, running)
-}
-
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_is_applied_once_and_shows_in_the_trail() {
-    let (platform, running) = start_platform().await;
-    let address = running.address.to_string();
+    let store = store::Store::start().await;
+    let address = store.address.to_string();
     let file = example();
     let file = file.to_str().expect("a path");
     let apply = ["apply", file, "--platform", &address, "--author", "ama", "--reason", "easter"];
     // The reply to the first write is lost after it took effect.
-    platform.set_faults(platform::Faults { lose_replies: 1, ..platform::Faults::default() });
+    store.lose_answers(1);
     let (code, text) = ctl(&apply).await;
     assert_eq!(code, Some(0), "{text}");
     assert!(text.contains("revision 1 is accepted"), "{text}");
@@ -59,8 +52,8 @@
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn findings_outages_and_missing_files_have_exit_codes_of_their_own() {
-    let (platform, running) = start_platform().await;
-    let address = running.address.to_string();
+    let store = store::Store::start().await;
+    let address = store.address.to_string();
     let directory = tempfile::tempdir().expect("a directory");
     let file = directory.path().join("bad.yaml");
     std::fs::write(&file, "pools:\n  a: { colour: red }\nmodel: {}\n").expect("a file");
@@ -69,7 +62,7 @@
     assert_eq!(code, Some(1), "{text}");
     assert!(text.contains("bad.yaml:2:8: pools.a.colour") && text.contains("`models`"), "{text}");
     assert_eq!(ctl(&["check", "no-such-file.yaml"]).await.0, Some(2));
-    platform.set_faults(platform::Faults { is_out: true, ..platform::Faults::default() });
+    store.set_mode(store::Mode::Busy);
     let (code, text) = ctl(&["show", "--platform", &address]).await;
     assert_eq!(code, Some(5), "{text}");
     assert!(text.contains("the platform does not answer"), "{text}");
@@ -104,13 +97,13 @@
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn the_console_shows_findings_beside_their_field_and_conflicts() {
-    let (_platform, running) = start_platform().await;
+    let store = store::Store::start().await;
     let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     let listen = listener.local_addr().expect("an address");
     drop(listener);
     let console = process::Command::new(env!("CARGO_BIN_EXE_toucanctl"))
         .args(["console", "--listen", &listen.to_string()])
-        .args(["--platform", &running.address.to_string()])
+        .args(["--platform", &store.address.to_string()])
         .spawn()
         .expect("the console starts");
     let _console = Console(console);
--- a/crates/daemon/tests/failures.rs
+++ b/crates/daemon/tests/failures.rs
@@ -7,8 +7,8 @@
 use fleet::Fleet;
 use rstest::rstest;
 use toucanwall_coordination::ledger::entry;
+use toucanwall_platform_standin::store;
 use toucanwall_standin::engine;
-use toucanwall_standin::platform;
 
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
@@ -81,7 +81,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_outage_of_the_platform_stops_chats_nowhere_and_refuses_bookings_at_once() {
     let fleet = Fleet::start(3).await;
-    fleet.platform.set_faults(platform::Faults { is_out: true, ..platform::Faults::default() });
+    fleet.store.set_mode(store::Mode::Busy);
     let started = time::Instant::now();
     let mut answered = 0;
     // Longer than the age at which a host that hears nobody takes no more work.
@@ -95,7 +95,7 @@
     assert_eq!((refused.status, refused.error_type().as_str()), (503, "not_run"));
     assert!(refused.header("retry-after").is_some());
     assert!(fleet.service.effects().is_empty());
-    fleet.platform.set_faults(platform::Faults::default());
+    fleet.store.set_mode(store::Mode::Up);
     fleet.wait_for("the bills that waited", async || fleet.bills().len() >= answered).await;
     assert_eq!(fleet.bills().len(), answered);
     fleet
@@ -110,7 +110,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_replies_of_the_platform_repeat_nothing() {
     let fleet = Fleet::start(3).await;
-    fleet.platform.set_faults(platform::Faults { lose_replies: 6, ..platform::Faults::default() });
+    fleet.store.lose_answers(6);
     for number in 0..4 {
         let key = format!("k{number}");
         fleet
@@ -122,8 +122,7 @@
     }
     assert_eq!(fleet.service.effects().values().copied().collect::<Vec<_>>(), [1, 1, 1, 1]);
     let outcome = {
-        let lost = platform::Faults { lose_replies: 1, ..platform::Faults::default() };
-        fleet.platform.set_faults(lost);
+        fleet.store.lose_answers(1);
         let next = fleet::document("\"2\": { share_percent: 0 }", "\"2\": { withdrawn: true }");
         fleet.apply(&next).await
     };
@@ -218,7 +217,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_that_starts_in_an_outage_takes_the_configuration_from_its_peers() {
     let mut fleet = Fleet::start(3).await;
-    fleet.platform.set_faults(platform::Faults { is_out: true, ..platform::Faults::default() });
+    fleet.store.set_mode(store::Mode::Busy);
     fleet.restart(2);
     fleet.wait_ready(2).await;
     assert_eq!(fleet.chat(2, "knots", 2).await.status, 200);
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -18,9 +18,9 @@
 use toucanwall_document::parts;
 use toucanwall_platform::Client;
 use toucanwall_platform::configuration;
+use toucanwall_platform_standin::store;
 use toucanwall_standin::engine;
 use toucanwall_standin::fixture;
-use toucanwall_standin::platform;
 use toucanwall_standin::rating;
 use toucanwall_standin::server;
 use toucanwall_standin::service;
@@ -36,8 +36,7 @@
 
 /// A deployment.
 pub struct Fleet {
-    pub platform: platform::Platform,
-    pub platform_address: net::SocketAddr,
+    pub store: store::Store,
     pub engines: Vec<(engine::Engine, server::Running)>,
     pub service: service::Service,
     pub hosts: Vec<HostProcess>,
@@ -124,24 +123,21 @@
 impl Fleet {
     /// Starts stand-ins and `hosts` daemons, and waits until they are ready.
     pub async fn start(hosts: usize) -> Self {
-        let platform = platform::Platform::new();
-        let running = platform.serve(loopback()).await.expect("a free port");
-        let platform_address = running.address;
+        let store = store::Store::start().await;
         let rating = rating::serve(loopback()).await.expect("a free port");
         let service = service::Service::new();
         let desk = service.serve(loopback()).await.expect("a free port");
-        fixture::list_server(&platform, "desk", desk.address, &collections::BTreeSet::new(), false);
+        fixture::list_server(&store, "desk", desk.address, &collections::BTreeSet::new(), false);
         let rating_address = rating.address;
         let mut fleet = Self {
-            platform,
-            platform_address,
+            store,
             engines: Vec::new(),
             service,
             hosts: Vec::new(),
             directory: tempfile::tempdir().expect("a directory"),
             http: hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new())
                 .build_http(),
-            _servers: vec![running, rating, desk],
+            _servers: vec![rating, desk],
         };
         for _ in 0..3 {
             fleet.add_engine(behaviour()).await;
@@ -166,13 +162,13 @@
         let loaded = behaviour.loaded.clone();
         let engine = engine::Engine::new(behaviour);
         let running = engine.serve(loopback()).await.expect("a free port");
-        fixture::list_server(&self.platform, "engines", running.address, &loaded, false);
+        fixture::list_server(&self.store, "engines", running.address, &loaded, false);
         self.engines.push((engine, running));
     }
 
     /// Puts a document in force at the platform.
     pub async fn apply(&self, text: &str) -> configuration::Outcome {
-        let client = Client::new(self.platform_address);
+        let client = Client::new(self.store.address);
         let document = check::check("test", text).unwrap_or_else(|findings| panic!("{findings}"));
         let base = configuration::load(&client).await.expect("the platform answers");
         let proposal = configuration::Proposal {
@@ -263,7 +259,7 @@
     fn bills_written(&self) -> Vec<entry::Bill> {
         let mut bills = Vec::new();
         for shard in 0..SHARDS {
-            for (_, value) in self.platform.under(&format!("ledger/{shard:04}/log/")) {
+            for value in fixture::values_under(&self.store, &format!("ledger/{shard:04}/log/")) {
                 let batch: entry::Batch = postcard::from_bytes(&value).expect("a batch decodes");
                 bills.extend(batch.entries.into_iter().filter_map(|entry| match entry {
                     entry::Entry::Bill(bill) => Some(bill),
@@ -355,7 +351,7 @@
     }
 
     async fn revision(&self) -> u64 {
-        let client = Client::new(self.platform_address);
+        let client = Client::new(self.store.address);
         configuration::load(&client)
             .await
             .map_or(0, |snapshot: replica::Snapshot| snapshot.revision)
@@ -376,7 +372,7 @@
             index % 2,
             free_address(),
             free_address(),
-            self.platform_address,
+            self.store.address,
             keys.display(),
         );
         fs::write(self.settings(index), text).expect("a settings file");
--- a/crates/document/src/settings.rs
+++ b/crates/document/src/settings.rs
@@ -21,7 +21,7 @@
     pub peer_address: net::SocketAddr,
     /// Where operators read health, status and metrics.
     pub admin_address: net::SocketAddr,
-    /// The platform's object API.
+    /// The platform's store.
     pub platform_address: net::SocketAddr,
     /// The rating service, if there is one.
     pub rating_address: Option<net::SocketAddr>,
--- a/crates/standin/examples/standins.rs
+++ b/crates/standin/examples/standins.rs
@@ -5,9 +5,9 @@
 use std::str::FromStr;
 
 use clap::Parser;
+use toucanwall_platform_standin::store;
 use toucanwall_standin::engine;
 use toucanwall_standin::fixture;
-use toucanwall_standin::platform;
 use toucanwall_standin::rating;
 use toucanwall_standin::service;
 
@@ -15,7 +15,7 @@
 #[derive(Debug)]
 #[derive(Parser)]
 struct Arguments {
-    /// Address of the object API.
+    /// Address of the platform's store.
     #[arg(long)]
     platform: net::SocketAddr,
     /// Address of the rating service.
@@ -61,9 +61,8 @@
 #[tokio::main]
 async fn main() -> std::io::Result<()> {
     let arguments = Arguments::parse();
-    let platform = platform::Platform::new();
-    let mut running =
-        vec![platform.serve(arguments.platform).await?, rating::serve(arguments.rating).await?];
+    let platform = store::Store::start_at(arguments.platform).await?;
+    let mut running = vec![rating::serve(arguments.rating).await?];
     for place in &arguments.engines {
         let engine = engine::Engine::new(engine::Behaviour {
             loaded: place.loaded.clone(),
@@ -79,6 +78,6 @@
         running.push(service::Service::new().serve(place.address).await?);
         fixture::list_server(&platform, &place.pool, place.address, &place.loaded, false);
     }
-    println!("stand-ins are up: {} servers", running.len());
+    println!("stand-ins are up: {} servers", running.len() + 1);
     tokio::signal::ctrl_c().await
 }
--- a/crates/standin/src/fixture.rs
+++ b/crates/standin/src/fixture.rs
@@ -1,13 +1,17 @@
-//! Status objects as the platform's host list stores them.
+//! Objects as the platform's host list stores them.
 
 use std::collections;
 use std::net;
 
-use crate::platform;
+use toucanwall_platform::client;
+use toucanwall_platform_standin::store;
 
 /// Lists a backend server at the platform.
+///
+/// # Panics
+/// The entry cannot be written as JSON.
 pub fn list_server(
-    platform: &platform::Platform,
+    store: &store::Store,
     pool: &str,
     address: net::SocketAddr,
     loaded: &collections::BTreeSet<String>,
@@ -19,11 +23,22 @@
         "leaving": is_leaving,
         "loaded": loaded,
     });
-    platform.put(&server_key(pool, address), value.to_string().as_bytes());
+    let place = client::Place::of(&format!("status/servers/{pool}/{address}"));
+    let value = client::encode_value(value.to_string().as_bytes()).expect("JSON");
+    let spec = serde_json::to_value(value).expect("JSON");
+    store.put(&place.kind, &place.name, &spec);
 }
 
-/// Key of a backend server's status object.
+/// Values of the objects whose keys begin with a prefix, in the order of the keys.
+///
+/// # Panics
+/// An object was not written by the client for keys.
 #[must_use]
-pub fn server_key(pool: &str, address: net::SocketAddr) -> String {
-    format!("status/servers/{pool}/{address}")
+pub fn values_under(store: &store::Store, prefix: &str) -> Vec<Vec<u8>> {
+    let place = client::Place::of(prefix);
+    let objects = store.list(&place.kind, &place.name);
+    let values = objects.iter().map(|(_, object)| {
+        client::decode_value(&object["spec"].to_string()).expect("a value with a key")
+    });
+    values.collect()
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,7 +4,6 @@
 
 pub mod engine;
 pub mod fixture;
-pub mod platform;
 pub mod rating;
 pub mod server;
 pub mod service;
