--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -23,9 +23,6 @@
 const URGENCY_OF_FIRST: u32 = 3;
 /// Least urgency that servers know.
 const URGENCY_LAST: u8 = 9;
-/// Repeats of a service's budget that are kept for failures: second runs of doubted answers may use up
-/// the rest.
-const REPEATS_FOR_FAILURES: u64 = 3;
 
 impl exchange::Exchange {
     /// The larger model that is to answer instead, if the one that answers doubts itself.
@@ -37,7 +34,7 @@
             return None;
         }
         // An answer is dropped only for a second run that can be made.
-        if self.traffic.repeats_left(&self.service) <= REPEATS_FOR_FAILURES {
+        if self.traffic.repeats_to_spare(&self.service) == 0 {
             return None;
         }
         let largest = self.route.models.last();
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -112,11 +112,11 @@
         self.with_repeats(service, |repeats| repeats.try_take(hosts, self.clock.now_ms()))
     }
 
-    /// Repeats that are left in a service's budget.
+    /// Repeats that are left in a service's budget for second runs by choice.
     #[must_use]
-    pub fn repeats_left(&self, service: &name::ServiceName) -> u64 {
+    pub fn repeats_to_spare(&self, service: &name::ServiceName) -> u64 {
         let hosts = self.view().serving_count();
-        self.with_repeats(service, |repeats| repeats.left(hosts, self.clock.now_ms()))
+        self.with_repeats(service, |repeats| repeats.spare(hosts, self.clock.now_ms()))
     }
 
     /// Learns from the time to a first byte.
@@ -143,7 +143,10 @@
             window_ms: bounds.retry_window_ms,
         };
         let mut all = self.repeats.lock().unwrap_or_else(PoisonError::into_inner);
-        with(all.entry(service.clone()).or_insert_with(|| repeats::Repeats::new(allowance)))
+        with(
+            all.entry(service.clone())
+                .or_insert_with(|| repeats::Repeats::new(allowance, &mut rand::rng())),
+        )
     }
 }
 
--- a/crates/policy/src/repeats.rs
+++ b/crates/policy/src/repeats.rs
@@ -5,6 +5,7 @@
 //! and an allowance. A host spends its part of it: the ratio over its own requests, and the
 //! allowance divided by the hosts. So the sum holds however hosts are cut off from each other.
 
+use rand::RngExt as _;
 use toucanwall_routing::number;
 
 use crate::window;
@@ -13,8 +14,13 @@
 /// with, and requests that it counted and the platform did not.
 const SPENT_PERCENT: u64 = 70;
 
-/// Thousandths, in which ratios are kept.
-const MILLI: f64 = 1_000.0;
+/// Part of the budget that is kept for failures, in percent: several times the share of requests that
+/// fail on a calm day.
+const KEPT_PERCENT: u64 = 25;
+/// Most repeats that are kept for failures: a host meets few of them at a time.
+const KEPT_MAX: u64 = 3;
+/// Thousandths in a whole, in which ratios are kept.
+const WHOLE_MILLI: u64 = 1_000;
 
 /// What the deployment allows.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -31,6 +37,9 @@
 #[derive(Debug)]
 pub struct Repeats {
     allowance: Allowance,
+    /// What is added before a budget is cut to whole repeats, in thousandths: as likely to be anything
+    /// below a whole one, so that hosts with a budget below one spend what they have together.
+    rounding_milli: u64,
     requests: window::Window,
     taken: window::Window,
 }
@@ -38,9 +47,13 @@
 impl Repeats {
     /// A fresh budget.
     #[must_use]
-    pub fn new(allowance: Allowance) -> Self {
+    pub fn new<R>(allowance: Allowance, rng: &mut R) -> Self
+    where
+        R: rand::Rng,
+    {
         Self {
             allowance,
+            rounding_milli: rng.random_range(0..WHOLE_MILLI),
             requests: window::Window::new(allowance.window_ms),
             taken: window::Window::new(allowance.window_ms),
         }
@@ -62,13 +75,25 @@
 
     /// Repeats that are left.
     pub fn left(&mut self, hosts: u64, now_ms: u64) -> u64 {
-        let ratio_milli = to_milli(self.allowance.ratio);
-        let of_requests = self.requests.count(now_ms) * ratio_milli / 1_000;
-        let budget = of_requests + self.allowance.extra / hosts.max(1);
-        (budget * SPENT_PERCENT / 100).saturating_sub(self.taken.count(now_ms))
+        self.budget(hosts, now_ms).saturating_sub(self.taken.count(now_ms))
+    }
+
+    /// Repeats that are left for second runs by choice; some are kept for failures.
+    pub fn spare(&mut self, hosts: u64, now_ms: u64) -> u64 {
+        let budget = self.budget(hosts, now_ms);
+        // A host with few requests has a budget of few: a fixed reserve would take all of it.
+        let kept = (budget * KEPT_PERCENT / 100).min(KEPT_MAX);
+        budget.saturating_sub(kept + self.taken.count(now_ms))
+    }
+
+    fn budget(&mut self, hosts: u64, now_ms: u64) -> u64 {
+        let of_requests = self.requests.count(now_ms) * to_milli(self.allowance.ratio);
+        let extra = self.allowance.extra * WHOLE_MILLI / hosts.max(1);
+        let budget_milli = (of_requests + extra) * SPENT_PERCENT / 100;
+        (budget_milli + self.rounding_milli) / WHOLE_MILLI
     }
 }
 
 fn to_milli(ratio: f64) -> u64 {
-    number::whole(ratio * MILLI)
+    number::whole(ratio * number::fraction(WHOLE_MILLI))
 }
--- a/crates/policy/tests/pressure.rs
+++ b/crates/policy/tests/pressure.rs
@@ -204,10 +204,14 @@
 
 /// Every request fails, on all hosts: the sum of repeats stays within the platform's budget.
 #[rstest]
-fn repeats_of_all_hosts_stay_within_the_budget() {
+#[case::few_hosts(6)]
+#[case::many_hosts(89)]
+#[case::hosts_with_a_request_in_three_seconds(300)]
+fn repeats_of_all_hosts_stay_within_the_budget(#[case] hosts: u64) {
     let allowance = repeats::Allowance { ratio: 0.9, extra: 52, window_ms: 10_000 };
-    let hosts = 6;
-    let mut budgets: Vec<_> = (0..hosts).map(|_| repeats::Repeats::new(allowance)).collect();
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(hosts);
+    let mut budgets: Vec<_> =
+        (0..hosts).map(|_| repeats::Repeats::new(allowance, &mut rng)).collect();
     let mut repeated_at_ms = Vec::new();
     let mut requested_at_ms = Vec::new();
     for now_ms in (0..30_000).step_by(10) {
@@ -229,6 +233,29 @@
     assert!(repeated_at_ms.len() > 1_000, "the budget is of use: {}", repeated_at_ms.len());
 }
 
+/// A second's worth of forty requests spread over more and more hosts, of which half are doubted: the
+/// part of second runs that is made.
+#[rstest]
+#[case::few_hosts(6)]
+#[case::hosts_with_half_a_request_a_second(89)]
+#[case::hosts_with_a_request_in_seven_seconds(300)]
+fn second_runs_do_not_depend_on_the_number_of_hosts(#[case] hosts: u64) {
+    let allowance = repeats::Allowance { ratio: 0.9, extra: 52, window_ms: 10_000 };
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(7);
+    let mut budgets: Vec<_> =
+        (0..hosts).map(|_| repeats::Repeats::new(allowance, &mut rng)).collect();
+    let (mut doubted, mut made) = (0_u64, 0_u64);
+    for now_ms in (0..60_000).step_by(25) {
+        let budget = &mut budgets[rng.random_range(0..usize::try_from(hosts).unwrap_or(1))];
+        budget.request(now_ms);
+        if rng.random_bool(0.5) {
+            doubted += 1;
+            made += u64::from(budget.spare(hosts, now_ms) > 0 && budget.try_take(hosts, now_ms));
+        }
+    }
+    assert!(made * 100 >= doubted * 60, "{made} second runs of {doubted}");
+}
+
 /// Requests that wait three seconds at most, twice as many as the pool can read.
 #[rstest]
 fn a_request_that_cannot_be_answered_in_time_is_refused_at_once() {
