--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -83,6 +83,14 @@
         #[arg(long)]
         json: bool,
     },
+    /// Tell what happened to a request on the users' platform, from the logs of its hosts.
+    #[command(after_help = "Example:\n  toucanctl explain 42efdf7748eb46fc host-1.log host-2.log")]
+    Explain {
+        /// The request's id.
+        request: String,
+        /// Log files of hosts; the standard input if there are none.
+        files: Vec<path::PathBuf>,
+    },
     /// Draw a new key for an organisation and print it with its digest.
     Key,
     /// Print a completion script for a shell.
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -17,6 +17,7 @@
 use crate::cli;
 use crate::console;
 use crate::error;
+use crate::explain;
 use crate::fleet;
 use crate::render;
 
@@ -40,6 +41,7 @@
         cli::Command::Trail { platform, after, json } => {
             trail(Client::new(platform), after, json).await
         }
+        cli::Command::Explain { request, files } => explain::explain(&request, &files),
         cli::Command::Key => {
             draw_key();
             Ok(())
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -62,6 +62,14 @@
         /// The hosts that lack it.
         hosts: String,
     },
+    /// No log line names a request.
+    #[error(
+        "no line names request {request}; are these the logs of the hosts that it was sent to?"
+    )]
+    NoRequest {
+        /// The request's id.
+        request: String,
+    },
     /// The console cannot be served.
     #[error("console: {0}")]
     Console(io::Error),
@@ -73,7 +81,7 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Findings(_) => 1,
-            Self::File { .. } | Self::Console(_) => 2,
+            Self::File { .. } | Self::NoRequest { .. } | Self::Console(_) => 2,
             Self::Conflict(_) | Self::Stale { .. } => 3,
             Self::Unknown => 4,
             Self::Load(_) | Self::Host { .. } => 5,
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod console;
 mod error;
+mod explain;
 mod fleet;
 mod render;
 
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -26,8 +26,9 @@
 /// A logger was set up before.
 pub fn set_up(host: &str, level: log::LevelFilter) -> Result<(), log::SetLoggerError> {
     let (sender, receiver) = mpsc::sync_channel::<String>(QUEUE_MAX);
-    thread::spawn(move || write(&receiver));
     let host = host.to_owned();
+    let writing = host.clone();
+    thread::spawn(move || write(&writing, &receiver));
     let rate = Rate::default();
     fern::Dispatch::new()
         .level(log::LevelFilter::Warn)
@@ -72,7 +73,7 @@
     DROPPED.load(atomic::Ordering::Relaxed)
 }
 
-fn write(receiver: &mpsc::Receiver<String>) {
+fn write(host: &str, receiver: &mpsc::Receiver<String>) {
     let mut told = 0;
     while let Ok(first) = receiver.recv() {
         let mut text = first;
@@ -84,8 +85,9 @@
         let dropped = dropped();
         if dropped > told {
             let lost = dropped - told;
-            let line = serde_json::json!({ "message": "log lines dropped", "count": lost });
-            text.push_str(&line.to_string());
+            let mut line = head(host, log::Level::Warn, "log lines dropped");
+            line.insert("count".to_owned(), lost.into());
+            text.push_str(&serde_json::Value::Object(line).to_string());
             text.push('\n');
             told = dropped;
         }
@@ -98,19 +100,29 @@
 }
 
 fn line(host: &str, message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
-    let mut fields = serde_json::Map::new();
-    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
-    let at_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
-    fields.insert("at_ms".to_owned(), at_ms.into());
-    fields.insert("level".to_owned(), record.level().as_str().to_ascii_lowercase().into());
-    fields.insert("host".to_owned(), host.into());
-    fields.insert("message".to_owned(), message.to_string().into());
+    let mut fields = head(host, record.level(), &message.to_string());
     if let Err(error) = record.key_values().visit(&mut Fields(&mut fields)) {
         fields.insert("fields_error".to_owned(), error.to_string().into());
     }
     serde_json::Value::Object(fields).to_string()
 }
 
+/// What each line begins with.
+fn head(
+    host: &str,
+    level: log::Level,
+    message: &str,
+) -> serde_json::Map<String, serde_json::Value> {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
+    let at_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+    let mut fields = serde_json::Map::new();
+    fields.insert("at_ms".to_owned(), at_ms.into());
+    fields.insert("level".to_owned(), level.as_str().to_ascii_lowercase().into());
+    fields.insert("host".to_owned(), host.into());
+    fields.insert("message".to_owned(), message.into());
+    fields
+}
+
 struct Fields<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
 
 impl<'kvs> kv::VisitSource<'kvs> for Fields<'_> {
