--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -431,3 +431,85 @@
     assert_eq!((answer.status, answer.is_whole), (200, true), "{}", site.log(0));
     assert_eq!(server.runs().len() - before, runs, "{}", site.log(0));
 }
+
+/// A server is not to work for a caller that has left.
+#[rstest]
+#[case::before_the_answer("desk", "/read/x", Act::Hang)]
+#[case::booking("desk", "/book/x", Act::Hang)]
+#[case::within_a_stream("engines", "/chat/x", Act::HangStream { after: 3 })]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_hears_that_its_caller_has_left(
+    #[case] service: &str,
+    #[case] path: &str,
+    #[case] act: Act,
+) {
+    let server = backend::Backend::start("s-1", act).await;
+    let site = Site::start(1, &[(service, &server)]).await;
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nhost: site.example\r\nx-toucanwall-attempt-id: gone-1\r\n\
+         x-toucanwall-deadline-ms: 3000\r\nauthorization: Token {}\r\n\r\n",
+        site::KEY
+    );
+    let caller = site.write(0, &request).await;
+    site.wait_for("the server to run it", async || server.runs().len() == 1).await;
+    drop(caller);
+    let left = time::Instant::now();
+    site.wait_for("the server to hear of it", async || server.abandoned() == 1).await;
+    // The platform counts work that goes on for half a second.
+    assert!(left.elapsed() < time::Duration::from_millis(500), "{:?}", left.elapsed());
+    assert_eq!(server.runs().len(), 1);
+}
+
+/// The address of a server that is gone is used again before the host hears of it.
+#[rstest]
+#[case::safe("GET", "/read/x")]
+#[case::not_to_be_repeated("POST", "/book/x")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_at_a_reused_address_runs_nothing(#[case] method: &str, #[case] path: &str) {
+    let (gone, other) = (desk("s-1").await, desk("s-2").await);
+    let site = Site::prepare().await;
+    site.store.put("config", "main", &site::configuration(2));
+    site.register_at("desk", &gone, other.address, "ready");
+    let mut site = site;
+    let host = site.spawn(0);
+    site.hosts.push(host);
+    site.wait_for("the host to be ready", async || site.is_ready(0).await).await;
+    let answer = site.send(0, method, path, &[]).await.expect("an answer");
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.header("retry-after").is_some());
+    assert!(other.runs().is_empty());
+}
+
+/// A second request hidden where hosts and servers could disagree about the end of the first.
+#[rstest]
+#[case::length_and_chunks("content-length: 6\r\ntransfer-encoding: chunked", "0\r\n\r\n")]
+#[case::two_lengths("content-length: 0\r\ncontent-length: 44", "")]
+#[case::unknown_encoding("transfer-encoding: xchunked\r\ncontent-length: 0", "")]
+#[case::chunks_in_disguise("transfer-encoding : chunked\r\ncontent-length: 5", "0\r\n\r\n")]
+#[case::line_in_a_header("x-a: b\nx-toucanwall-tenant-id: forged\r\ncontent-length: 0", "")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hidden_request_reaches_no_server(#[case] framing: &str, #[case] body: &str) {
+    let server = desk("s-1").await;
+    let site = Site::start(1, &[("desk", &server)]).await;
+    let request = |path: &str, id: &str, rest: &str| {
+        format!(
+            "POST {path} HTTP/1.1\r\nhost: site.example\r\nx-toucanwall-attempt-id: {id}\r\n\
+             x-toucanwall-deadline-ms: 3000\r\nauthorization: Token {}\r\n{rest}\r\n\r\n",
+            site::KEY
+        )
+    };
+    // The hidden one has no key, so that it runs only if a server takes it for a request.
+    let hidden = "POST /book/hidden HTTP/1.1\r\nx-toucanwall-attempt-id: hidden\r\n\r\n";
+    let bytes = format!("{}{body}{hidden}", request("/book/x", "first", framing));
+    let caller = site.write(0, &bytes).await;
+    let plain = request("/book/y", "second", "content-length: 0");
+    let other = site.write(0, &plain).await;
+    let has_run = async || server.runs().iter().any(|run| run.target == "/book/y");
+    site.wait_for("another caller's request to run", has_run).await;
+    tokio::time::sleep(time::Duration::from_millis(200)).await;
+    let runs = server.runs();
+    assert!(runs.iter().all(|run| run.target != "/book/hidden"), "{runs:?}");
+    let tenants = runs.iter().filter_map(|run| run.headers.get("x-toucanwall-tenant-id"));
+    assert!(tenants.into_iter().all(|tenant| tenant == "org-1"), "{runs:?}");
+    drop((caller, other));
+}
--- a/crates/daemon/tests/site/mod.rs
+++ b/crates/daemon/tests/site/mod.rs
@@ -9,6 +9,7 @@
 use std::time;
 
 use http_body_util::BodyExt as _;
+use tokio::io::AsyncWriteExt as _;
 use toucanwall_platform_standin::backend;
 use toucanwall_platform_standin::store;
 
@@ -276,6 +277,14 @@
         Prepared { http: self.http.clone(), request }
     }
 
+    /// A connection to a host on which bytes were written.
+    pub async fn write(&self, index: usize, bytes: &str) -> tokio::net::TcpStream {
+        let address = self.caller_address(index);
+        let mut stream = tokio::net::TcpStream::connect(address).await.expect("a connection");
+        stream.write_all(bytes.as_bytes()).await.expect("a request goes out");
+        stream
+    }
+
     pub fn address(&self, index: usize, port: u16) -> net::SocketAddr {
         net::SocketAddr::from((self.hosts[index].ip, port))
     }
