--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -513,3 +513,25 @@
     assert!(tenants.into_iter().all(|tenant| tenant == "org-1"), "{runs:?}");
     drop((caller, other));
 }
+
+/// A server resets connections beyond its limit, and what was written on them is in doubt.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_rest_count_against_the_limit_of_a_server() {
+    const LIMIT: usize = 8;
+    let server = desk("s-1").await;
+    let site = Site::prepare().await;
+    let mut configuration = site::configuration(2);
+    configuration["services"][0]["max_connections"] = LIMIT.into();
+    site.store.put("config", "main", &configuration);
+    site.register("desk", &server, "ready");
+    let mut site = site;
+    let host = site.spawn(0);
+    site.hosts.push(host);
+    site.wait_for("the host to be ready", async || site.is_ready(0).await).await;
+    for _ in 0..4 * LIMIT {
+        // Each booking has a new connection.
+        assert_eq!(site.send(0, "POST", "/book/x", &[]).await.expect("one").status, 200);
+    }
+    assert!(server.most_open() <= LIMIT, "{} connections", server.most_open());
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -77,6 +77,8 @@
     prompt_units: u64,
     /// Work that lay before its first byte.
     units_before: u64,
+    /// Connections to the server that may rest.
+    idle_max: u32,
     sent_ms: u64,
     has_first_byte: bool,
     ending: Option<placement::Ending>,
@@ -178,6 +180,7 @@
             work: (exchange.service.clone(), exchange.model.clone()),
             prompt_units: job.units(),
             units_before: units,
+            idle_max: exchange.connections().idle_max,
             sent_ms,
             has_first_byte: false,
             ending: None,
@@ -198,10 +201,9 @@
         }
     }
 
-    /// The connections to backend servers.
-    #[must_use]
-    pub fn pool(&self) -> &Arc<pool::Pool> {
-        &self.traffic.pool
+    /// Keeps the connection of an answer that is whole, if there is room for it.
+    pub fn keep(&self, connection: pool::Connection, keep_alive: answer::KeepAlive) {
+        self.traffic.pool.put(connection, keep_alive, self.idle_max);
     }
 
     /// Notes how it ended.
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -5,6 +5,7 @@
 
 use toucanwall_platform::answer;
 use toucanwall_policy::canary;
+use toucanwall_policy::connections;
 use toucanwall_policy::ladder;
 use toucanwall_policy::placement;
 use toucanwall_routing::name;
@@ -16,8 +17,6 @@
 const SILENT_OBJECTIVES: u64 = 2;
 /// Shortest time after which a server counts as silent, in milliseconds.
 const SILENT_MIN_MS: u64 = 1_000;
-/// Most of a server's connections that one host uses, of its even part, in percent.
-const CONNECTIONS_PERCENT: u64 = 90;
 /// Urgency at a server of what ranks first; ranks below follow on. Servers take 5 where nothing is
 /// said, so that the middle ranks are where other callers are.
 const URGENCY_OF_FIRST: u32 = 3;
@@ -91,7 +90,7 @@
         placement::Job {
             generation: self.head.generation.as_ref(),
             data_centre: &self.traffic.settings.data_centre,
-            in_flight_max: self.in_flight_max(),
+            in_flight_max: self.connections().in_flight_max,
             weight_percent: self.weight_percent(self.model.as_ref()),
         }
     }
@@ -115,12 +114,12 @@
         }
     }
 
-    /// Requests that one server takes from this host: its part of the server's connections.
-    fn in_flight_max(&self) -> u32 {
+    /// This host's connections to one server.
+    #[must_use]
+    pub fn connections(&self) -> connections::Share {
         let view = self.traffic.view();
         let service = view.configuration.as_ref().and_then(|known| known.service(&self.service));
-        let connections = service.map_or(u64::MAX, |service| u64::from(service.max_connections));
-        let part = connections.saturating_mul(CONNECTIONS_PERCENT) / 100 / view.serving_count();
-        u32::try_from(part.max(1)).unwrap_or(u32::MAX)
+        let connections_max = service.map_or(u32::MAX, |service| service.max_connections);
+        connections::share(connections_max, view.serving_count())
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -320,7 +320,7 @@
                 return (Outcome::Fault(attempt::Fault::Silent { patience_ms }, None), None);
             }
         };
-        self.traffic.pool.put(connection, head.keep_alive);
+        visit.keep(connection, head.keep_alive);
         let status = head.status;
         let is_failure = status.is_server_error();
         visit.ended(if is_failure { placement::Ending::Failed } else { placement::Ending::Fine });
--- a/crates/gateway/src/frame.rs
+++ b/crates/gateway/src/frame.rs
@@ -50,10 +50,13 @@
     },
 }
 
+/// A connection between two hosts, cut into frames.
+pub type Connection = codec::Framed<tokio::net::TcpStream, codec::LengthDelimitedCodec>;
+
 /// Cuts a connection into frames.
 #[must_use]
-pub fn codec() -> codec::LengthDelimitedCodec {
-    codec::LengthDelimitedCodec::builder().max_frame_length(FRAME_MAX_BYTES).new_codec()
+pub fn connection(stream: tokio::net::TcpStream) -> Connection {
+    codec::LengthDelimitedCodec::builder().max_frame_length(FRAME_MAX_BYTES).new_framed(stream)
 }
 
 /// A message as the body of a frame.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -79,8 +79,14 @@
         }
     }
 
-    /// Keeps a connection whose answer is whole, unless its server closes it.
-    pub fn put(self: &Arc<Self>, mut connection: Connection, keep_alive: answer::KeepAlive) {
+    /// Keeps a connection whose answer is whole, unless its server closes it or `idle_max` of that
+    /// server are kept already.
+    pub fn put(
+        self: &Arc<Self>,
+        mut connection: Connection,
+        keep_alive: answer::KeepAlive,
+        idle_max: u32,
+    ) {
         let keep = match keep_alive {
             answer::KeepAlive::Closes => return,
             answer::KeepAlive::For(time) => {
@@ -91,14 +97,14 @@
         let until =
             tokio::time::Instant::now() + keep.min(time::Duration::from_millis(KEEP_MAX_MS));
         if connection.sender.is_ready() {
-            self.keep(Idle { connection, until });
+            self.keep(Idle { connection, until }, idle_max);
             return;
         }
         let pool = Arc::clone(self);
         tokio::spawn(async move {
             // The connection becomes ready once the rest of the request has gone out.
             if connection.sender.ready().await.is_ok() {
-                pool.keep(Idle { connection, until });
+                pool.keep(Idle { connection, until }, idle_max);
             }
         });
     }
@@ -113,9 +119,15 @@
         });
     }
 
-    fn keep(&self, entry: Idle) {
+    fn keep(&self, entry: Idle, idle_max: u32) {
+        let now = tokio::time::Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.entry(entry.connection.key.clone()).or_default().push(entry);
+        let connections = idle.entry(entry.connection.key.clone()).or_default();
+        connections.retain(|entry| now < entry.until && !entry.connection.sender.is_closed());
+        // One beyond the limit is closed.
+        if u32::try_from(connections.len()).is_ok_and(|count| count < idle_max) {
+            connections.push(entry);
+        }
     }
 
     fn take(&self, key: &Key) -> Option<Connection> {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -34,9 +34,6 @@
     object::Kind::Hosts,
 ];
 
-type Connection =
-    tokio_util::codec::Framed<tokio::net::TcpStream, tokio_util::codec::LengthDelimitedCodec>;
-
 type Messages = tokio::sync::broadcast::Receiver<bytes::Bytes>;
 
 /// Passes on what this host hears, while it watches the store itself.
@@ -151,7 +148,7 @@
     }
 
     async fn serve(self: Arc<Self>, stream: tokio::net::TcpStream) {
-        let connection = tokio_util::codec::Framed::new(stream, frame::codec());
+        let connection = frame::connection(stream);
         let limit = time::Duration::from_millis(LISTENER_MS);
         match tokio::time::timeout(limit, greet(connection)).await {
             Ok(Ok((connection, subscribe))) if subscribe.relay_run_id == self.run_id => {
@@ -172,7 +169,7 @@
         }
     }
 
-    async fn serve_listener(&self, mut connection: Connection) -> io::Result<()> {
+    async fn serve_listener(&self, mut connection: frame::Connection) -> io::Result<()> {
         let mut reach = self.reach.subscribe();
         let Some((lists, mut messages, _listener)) = self.join() else {
             // Closing the connection tells the listener to ask another host.
@@ -298,14 +295,16 @@
     }
 }
 
-async fn greet(mut connection: Connection) -> io::Result<(Connection, frame::Subscribe)> {
+async fn greet(
+    mut connection: frame::Connection,
+) -> io::Result<(frame::Connection, frame::Subscribe)> {
     connection.get_ref().set_nodelay(true)?;
     let first = connection.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
     let subscribe = frame::decode(&first)?;
     Ok((connection, subscribe))
 }
 
-async fn send(connection: &mut Connection, message: bytes::Bytes) -> io::Result<()> {
+async fn send(connection: &mut frame::Connection, message: bytes::Bytes) -> io::Result<()> {
     let limit = time::Duration::from_millis(LISTENER_MS);
     tokio::time::timeout(limit, connection.send(message)).await?
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,6 +1,5 @@
 //! Streams of events on their way from a server to a caller.
 
-use std::sync::Arc;
 use std::time;
 
 use http_body_util::BodyExt as _;
@@ -250,7 +249,6 @@
 
     fn finish(mut self) {
         self.visit.ended(placement::Ending::Fine);
-        let pool = Arc::clone(self.visit.pool());
-        pool.put(self.connection, self.head.keep_alive);
+        self.visit.keep(self.connection, self.head.keep_alive);
     }
 }
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -20,8 +20,7 @@
 pub struct Subscription {
     /// The host that relays.
     pub relay: Arc<host::EntryHost>,
-    connection:
-        tokio_util::codec::Framed<tokio::net::TcpStream, tokio_util::codec::LengthDelimitedCodec>,
+    connection: frame::Connection,
     /// What the relay said when it took this host.
     first: Option<frame::Frame>,
 }
@@ -64,7 +63,7 @@
     stream.set_nodelay(true)?;
     let subscribe =
         frame::Subscribe { host: me.name.as_str().to_owned(), relay_run_id: relay.run_id };
-    let mut connection = tokio_util::codec::Framed::new(stream, frame::codec());
+    let mut connection = frame::connection(stream);
     connection.send(frame::encode(&subscribe)?).await?;
     let mut subscription = Subscription { relay, connection, first: None };
     subscription.first = Some(subscription.next().await?);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod balance;
 pub mod canary;
 pub mod cascade;
+pub mod connections;
 pub mod eligibility;
 pub mod forecast;
 pub mod ladder;
