--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -132,6 +132,7 @@
 #[rstest]
 #[case::broken_off(Act::BreakStream { after: 3 })]
 #[case::silent(Act::HangStream { after: 3 })]
+#[case::an_event_left_out(Act::GapStream { after: 3, last: 6 })]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_is_interrupted_goes_on_at_another_server(#[case] fault: Act) {
     let (first, second) = (engine("e-1").await, engine("e-2").await);
@@ -535,3 +536,44 @@
     }
     assert!(server.most_open() <= LIMIT, "{} connections", server.most_open());
 }
+
+/// A server's word that it did not run a request says nothing of the server before it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_doubt_is_not_settled_by_another_server() {
+    let losing = backend::Backend::start("s-1", Act::LoseAnswer).await;
+    let declining = backend::Backend::start("s-2", Act::Decline).await;
+    let site = Site::start(1, &[("desk", &losing), ("desk", &declining)]).await;
+    let mut doubtful = 0;
+    for number in 0..12 {
+        let id = format!("doubt-{number}");
+        let answer = site.prepare_request(0, "GET", "/read/x", &id).send().await.expect("one");
+        let has_run = losing.runs().iter().any(|run| {
+            run.headers.get("x-toucanwall-attempt-id").is_some_and(|run_id| *run_id == id)
+        });
+        assert_eq!(answer.status, if has_run { 502 } else { 503 }, "{id}");
+        doubtful += u32::from(has_run);
+    }
+    assert!(doubtful > 0, "some requests reached the server that loses answers");
+}
+
+/// Servers could not renew their entries while the store was away; they are back soon after it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_whose_entry_lapsed_with_the_store_is_kept_for_a_while() {
+    let server = desk("s-1").await;
+    let site = Site::start(1, &[("desk", &server)]).await;
+    site.store.set_mode(store::Mode::Busy);
+    site.store.cut_waiting();
+    site.wait_for("the outage to show", async || site.log(0).contains("store lost")).await;
+    site.store.delete("servers", "s-1");
+    site.store.set_mode(store::Mode::Up);
+    let lists = || site.log(0).matches(r#""kind":"servers""#).count();
+    let before = lists();
+    site.wait_for("the servers to be listed anew", async || lists() > before).await;
+    assert_eq!(site.send(0, "GET", "/read/x", &[]).await.expect("one").status, 200);
+    // An entry that is not back in time is taken as gone.
+    let is_gone = async || site.log(0).contains("servers did not come back with the store");
+    site.wait_for("the server to be taken as gone", is_gone).await;
+    assert_eq!(site.send(0, "GET", "/read/x", &[]).await.expect("one").status, 503);
+}
