--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -577,3 +577,21 @@
     site.wait_for("the server to be taken as gone", is_gone).await;
     assert_eq!(site.send(0, "GET", "/read/x", &[]).await.expect("one").status, 503);
 }
+
+/// A kept connection may be closed while a request is on its way, which leaves its fate open.
+#[rstest]
+#[case::not_to_be_repeated("POST", "/book/x", 6)]
+#[case::safe("GET", "/read/x", 1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn only_requests_that_may_be_repeated_use_kept_connections(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] opened: usize,
+) {
+    let server = desk("s-1").await;
+    let site = Site::start(1, &[("desk", &server)]).await;
+    for _ in 0..6 {
+        assert_eq!(site.send(0, method, path, &[]).await.expect("one").status, 200);
+    }
+    assert_eq!(server.opened(), opened);
+}
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -3,8 +3,8 @@
 //! Answers the load that many hosts put on one store: each change is a call of every host that waits
 //! for it, and all of them list everything at the same moment after an outage. Two hosts of each data
 //! centre, more in a large one, watch the store and relay what they hear to the rest. A relay that
-//! falls silent or loses the store is left within a second, so that bounds on changes hold for the
-//! hosts behind it as if they watched for themselves.
+//! falls silent or loses the store is left within a second and a half, so that bounds on changes hold for
+//! the hosts behind it as if they watched for themselves.
 
 use std::cmp;
 use std::sync::Arc;
