--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -292,8 +292,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_without_a_configuration_says_so() {
     let mut site = Site::prepare().await;
-    let host = site.spawn(0);
-    site.hosts.push(host);
+    site.add_host();
     site.wait_for("the host to answer", async || {
         site.send(0, "GET", "/read/x", &[]).await.is_some()
     })
@@ -419,9 +418,7 @@
     });
     site.store.put("config", "main", &configuration);
     site.register("engines", &server, "ready");
-    let host = site.spawn(0);
-    site.hosts.push(host);
-    site.wait_for("the host to be ready", async || site.is_ready(0).await).await;
+    site.add_ready_host().await;
     // The budget grows with requests for the service.
     for _ in 0..10 {
         site.send(0, "POST", "/chat/x", &[]).await.expect("an answer");
@@ -468,13 +465,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_at_a_reused_address_runs_nothing(#[case] method: &str, #[case] path: &str) {
     let (gone, other) = (desk("s-1").await, desk("s-2").await);
-    let site = Site::prepare().await;
+    let mut site = Site::prepare().await;
     site.store.put("config", "main", &site::configuration(2));
     site.register_at("desk", &gone, other.address, "ready");
-    let mut site = site;
-    let host = site.spawn(0);
-    site.hosts.push(host);
-    site.wait_for("the host to be ready", async || site.is_ready(0).await).await;
+    site.add_ready_host().await;
     let answer = site.send(0, method, path, &[]).await.expect("an answer");
     assert_eq!(answer.status, 503, "{answer:?}");
     assert!(answer.header("retry-after").is_some());
@@ -521,15 +515,12 @@
 async fn connections_that_rest_count_against_the_limit_of_a_server() {
     const LIMIT: usize = 8;
     let server = desk("s-1").await;
-    let site = Site::prepare().await;
+    let mut site = Site::prepare().await;
     let mut configuration = site::configuration(2);
     configuration["services"][0]["max_connections"] = LIMIT.into();
     site.store.put("config", "main", &configuration);
     site.register("desk", &server, "ready");
-    let mut site = site;
-    let host = site.spawn(0);
-    site.hosts.push(host);
-    site.wait_for("the host to be ready", async || site.is_ready(0).await).await;
+    site.add_ready_host().await;
     for _ in 0..4 * LIMIT {
         // Each booking has a new connection.
         assert_eq!(site.send(0, "POST", "/book/x", &[]).await.expect("one").status, 200);
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -36,12 +36,11 @@
         site.store.put("config", "main", &site::configuration(2));
         site.register("desk", &server, "ready");
         let mut store_proxies = Vec::new();
-        for index in 0..HOSTS {
+        for _ in 0..HOSTS {
             let proxy = proxy::Proxy::start(site.store.address).await;
             site.store_address = proxy.address;
             store_proxies.push(proxy);
-            let host = site.spawn(index);
-            site.hosts.push(host);
+            site.add_host();
         }
         let world = Self { site, store_proxies, _server: server };
         let site = &world.site;
--- a/crates/daemon/tests/site/mod.rs
+++ b/crates/daemon/tests/site/mod.rs
@@ -141,9 +141,8 @@
         for (service, server) in servers {
             site.register(service, server, "ready");
         }
-        for index in 0..hosts {
-            let host = site.spawn(index);
-            site.hosts.push(host);
+        for _ in 0..hosts {
+            site.add_host();
         }
         for index in 0..hosts {
             site.wait_for("the host to be ready", async || site.is_ready(index).await).await;
@@ -188,6 +187,19 @@
         self.store.put("servers", &server.id, &spec);
     }
 
+    /// Starts the next host.
+    pub fn add_host(&mut self) {
+        let host = self.spawn(self.hosts.len());
+        self.hosts.push(host);
+    }
+
+    /// Starts the next host and waits until it is ready.
+    pub async fn add_ready_host(&mut self) {
+        self.add_host();
+        let index = self.hosts.len() - 1;
+        self.wait_for("the host to be ready", async || self.is_ready(index).await).await;
+    }
+
     pub fn spawn(&self, index: usize) -> Host {
         let log = fs::File::create(self.log_file(index)).expect("a log file");
         self.spawn_with(index, process::Stdio::from(log))
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -88,9 +88,8 @@
             proxies.push(proxy);
             if number < DESKS { desks.push(server) } else { engines.push(server) }
         }
-        for index in 0..HOSTS {
-            let host = site.spawn(index);
-            site.hosts.push(host);
+        for _ in 0..HOSTS {
+            site.add_host();
         }
         for index in 0..HOSTS {
             site.wait_for("the host to be ready", async || site.is_ready(index).await).await;
