--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -121,6 +121,35 @@
     world.revoke(5, &listening).await;
 }
 
+/// The store turns both relays away for a while; the hosts behind them are bound by what it tells them.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_leaves_while_relays_are_turned_away_gets_nothing_new() {
+    let world = World::start().await;
+    let site = &world.site;
+    let leaving = backend::Backend::start("s-2", backend::Act::Answer).await;
+    site.register("desk", &leaving, "ready");
+    let relays = world.relays();
+    let others: Vec<_> = (0..HOSTS).filter(|index| !relays.contains(index)).collect();
+    for index in &relays {
+        world.store_proxies[*index].set_mode(proxy::Mode::Reset);
+    }
+    let watches = async || others.iter().any(|index| !world.listens(*index));
+    site.wait_for("one of the others to watch the store", watches).await;
+    // By now it has asked the relays once more.
+    tokio::time::sleep(time::Duration::from_millis(3_100)).await;
+    site.store.delete("servers", "s-2");
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    let before = leaving.runs().len();
+    for index in others {
+        for _ in 0..10 {
+            let answer = site.send(index, "GET", "/read/x", &[]).await;
+            assert_eq!(answer.map(|answer| answer.status), Some(200));
+        }
+    }
+    assert_eq!(leaving.runs().len(), before, "{}", site.log(0));
+}
+
 /// Ids of requests that try a new version from the start of its roll-out.
 fn early_ids() -> impl Iterator<Item = String> {
     let unit = |id: &String| xxhash_rust::xxh3::xxh3_64(id.as_bytes()) >> 32;
--- a/crates/gateway/src/listening.rs
+++ b/crates/gateway/src/listening.rs
@@ -102,7 +102,10 @@
             }
             Ok(frame::Frame::Beat { store_age_ms, has_store }) => {
                 self.contact.beat(store_age_ms, has_store, now_ms);
-                self.tell(has_store, "the relay has lost the store");
+                // Whether a store that the relay has lost is away is for this host's own look to say.
+                if has_store {
+                    self.tell(true, "");
+                }
             }
             Err(error) => return Next::Leave(error.to_string()),
         }
@@ -125,11 +128,13 @@
 
     fn judge(&mut self, has_answered: bool) -> Next {
         match self.contact.judge(has_answered, self.clock.now_ms()) {
-            relay::Judgement::Keep => {}
-            relay::Judgement::Leave => return Next::Leave(WORSE_OFF.to_owned()),
-            relay::Judgement::CutOff => self.tell(false, "neither the relay nor the store answers"),
+            relay::Judgement::Keep => Next::Listen,
+            relay::Judgement::Leave => Next::Leave(WORSE_OFF.to_owned()),
+            relay::Judgement::CutOff => {
+                self.tell(false, "neither the relay nor this host has the store");
+                Next::Listen
+            }
         }
-        Next::Listen
     }
 
     /// Says whether the store is there, if that is news.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -208,9 +208,10 @@
         Ok(())
     }
 
-    /// All lists, and what comes after them; nothing unless this host watches and has read all.
+    /// All lists, and what comes after them; nothing unless this host watches, has read all and has the
+    /// store.
     fn join(&self) -> Option<(Vec<bytes::Bytes>, Messages, Listener<'_>)> {
-        self.reach.borrow().as_ref()?;
+        self.reach.borrow().as_ref().filter(|reach| reach.is_up())?;
         let mut state = self.lock();
         let lists: Option<Vec<_>> = KINDS.into_iter().map(|kind| state.message(kind)).collect();
         // Counted before the lock is let go, so that nothing heard from now on is kept from it.
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -114,7 +114,7 @@
     Keep,
     /// The relay is gone or cut off, and the store answers this host.
     Leave,
-    /// Neither the relay nor the store answers this host.
+    /// Neither the relay nor this host has the store.
     CutOff,
 }
 
@@ -165,7 +165,7 @@
         self.has_answered = has_answered;
         match has_answered {
             true if self.is_worse_off(now_ms) => Judgement::Leave,
-            false if self.is_silent(now_ms) => Judgement::CutOff,
+            false if self.is_silent(now_ms) || self.away_since_ms.is_some() => Judgement::CutOff,
             _ => Judgement::Keep,
         }
     }
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -175,3 +175,13 @@
     let left_ms = left_after_ms(true, |now_ms| Some((240 + now_ms % 640, true)));
     assert_eq!(left_ms, None);
 }
+
+#[rstest]
+fn the_store_is_away_once_it_answers_neither_the_relay_nor_the_host() {
+    let mut contact = relay::Contact::new(0);
+    contact.beat(0, true, 0);
+    contact.beat(400, false, 1_000);
+    assert_eq!(contact.next(1_000), relay::Next::Look);
+    assert_eq!(contact.judge(true, 1_010), relay::Judgement::Keep);
+    assert_eq!(contact.judge(false, 1_410), relay::Judgement::CutOff);
+}
