Log host entries, and whether a server ended under a request

The logs of the incident could not tell whether a lost host's entry was removed late or never, nor whether a broken connection meant a crashed server, nor which tries were of the same request. Hosts now log each host entry that appears, changes or vanishes, count the hosts that they name to callers, and give a failed attempt the hash of the request's content and the reason server_ended if the server refuses a new connection after it broke one. The probe costs one connection per broken one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -45,6 +45,9 @@
     /// malformed.
     #[error("connection or message error: {0}")]
     Broken(String),
+    /// The connection failed before the response was complete, and the server has ended.
+    #[error("server ended while it worked on the request: {0}")]
+    ServerEnded(String),
     /// The server sent nothing within the timeout.
     #[error("no response within {timeout_ms} ms")]
     TimedOut {
@@ -136,7 +139,11 @@
             }
             Ok(Err(pool::SendError::Broken(error))) => {
                 in_flight.record_outcome(placement::Outcome::Failed);
-                return Err((AttemptError::Broken(error.to_string()), None));
+                let error = error.to_string();
+                if pool::has_ended(in_flight.server.address).await {
+                    return Err((AttemptError::ServerEnded(error), None));
+                }
+                return Err((AttemptError::Broken(error), None));
             }
             Err(_elapsed) => {
                 in_flight.record_outcome(placement::Outcome::Failed);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,6 +11,7 @@
 use toucanwall_platform::registration;
 use toucanwall_routing::host;
 use toucanwall_routing::local_state;
+use toucanwall_routing::name;
 use toucanwall_routing::rollout;
 use toucanwall_routing::settings;
 use toucanwall_routing::view;
@@ -326,6 +327,8 @@
 
     fn publish(&self) {
         let view = self.local_state.view();
+        log_host_changes(&self.inputs.views.borrow().hosts, &view.hosts);
+        self.inputs.metrics.set_hosts_listed(view.serving_hosts().count());
         let hosts = view.serving_host_count();
         self.inputs.rollouts.update(&view.rollouts, hosts, self.inputs.clock.now());
         self.inputs.views.send_replace(Arc::new(view));
@@ -367,6 +370,25 @@
     }
 }
 
+/// Logs the hosts whose entries appeared, changed or vanished.
+fn log_host_changes(
+    before: &collections::BTreeMap<name::HostName, Arc<host::HostEntry>>,
+    after: &collections::BTreeMap<name::HostName, Arc<host::HostEntry>>,
+) {
+    for (name, host) in after.iter().filter(|(name, host)| before.get(*name) != Some(*host)) {
+        log::info!(
+            target: "toucanwall", entry = name.as_str(), run = format!("{:016x}", host.run_id),
+            phase:? = host.phase; "host entry"
+        );
+    }
+    for (name, host) in before.iter().filter(|(name, _)| !after.contains_key(*name)) {
+        log::info!(
+            target: "toucanwall", entry = name.as_str(), run = format!("{:016x}", host.run_id);
+            "host entry vanished"
+        );
+    }
+}
+
 fn log_malformed<E>(error: &E)
 where
     E: std::error::Error,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -52,6 +52,8 @@
     pub organisation: Option<Arc<configuration::Organisation>>,
     /// Whether the API key is removed before the request is sent to a server.
     pub strips_key: bool,
+    /// Hash of what identifies the request's content across its tries.
+    pub content_hash: u64,
     /// Service that runs the request.
     pub service: name::ServiceName,
     /// Time at which the request was received, on the monotonic clock in milliseconds.
@@ -404,7 +406,7 @@
             target: "toucanwall",
             request = &*self.head.attempt_id, route = self.route.name.as_str(),
             server = server.id.as_str(), attempt = self.attempts, left_ms = self.remaining_ms(),
-            why = why; "{what}"
+            content = format!("{:016x}", self.content_hash), why = why; "{what}"
         );
     }
 }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -11,6 +11,7 @@
 use toucanwall_platform::response;
 use toucanwall_policy::escalation;
 use toucanwall_routing::configuration;
+use toucanwall_routing::name;
 use toucanwall_routing::view;
 
 use crate::exchange;
@@ -212,6 +213,7 @@
         reason: "no service",
         retry_after_ms: None,
     })?;
+    let content_hash = content_hash(organisation.map(|known| &known.name), &parts, &body);
     let router_selects_model =
         head.generation.as_ref().is_some_and(|generation| generation.router_selects_model);
     Ok(exchange::Exchange {
@@ -219,6 +221,7 @@
         route: Arc::clone(route),
         organisation: organisation.map(Arc::clone),
         strips_key: configuration.requires_api_key(),
+        content_hash,
         service: service.clone(),
         received_at_ms,
         deadline_at_ms: exchange::deadline_at_ms(route, &head, received_at_ms),
@@ -350,7 +353,7 @@
 fn choose_service<'a>(
     route: &'a configuration::Route,
     attempt_id: &str,
-) -> Option<&'a toucanwall_routing::name::ServiceName> {
+) -> Option<&'a name::ServiceName> {
     let total: u64 = route.destinations.iter().map(|(_, weight)| u64::from(*weight)).sum();
     let mut position = stable_hash(attempt_id).checked_rem(total)?;
     route.destinations.iter().find_map(|(service, weight)| {
@@ -404,6 +407,24 @@
     ms + rand::rng().random_range(0..=ms)
 }
 
+/// Hashes what a request asks for and for whom, to the same value on all hosts and for each try.
+fn content_hash(
+    organisation: Option<&name::OrganisationName>,
+    parts: &hyper::http::request::Parts,
+    body: &[u8],
+) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let organisation = organisation.map_or("", name::OrganisationName::as_str);
+    for field in [organisation, parts.method.as_str(), path] {
+        hasher.update(field.as_bytes());
+        // Keeps apart fields that would otherwise join to the same text.
+        hasher.update(&[0]);
+    }
+    hasher.update(body);
+    hasher.digest()
+}
+
 /// Hashes a text to the same value on all hosts.
 #[must_use]
 pub fn stable_hash(text: &str) -> u64 {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     answer_seconds: histogram::Histogram,
     first_byte_seconds: histogram::Histogram,
     configuration_version: gauge::Gauge,
+    hosts_listed: gauge::Gauge,
     dropped_log_lines: gauge::Gauge,
 }
 
@@ -63,6 +64,9 @@
         let configuration_version = gauge::Gauge::default();
         let help = "version of the configuration in force";
         registry.register("configuration_version", help, configuration_version.clone());
+        let hosts_listed = gauge::Gauge::default();
+        let help = "hosts whose addresses callers are given";
+        registry.register("hosts_listed", help, hosts_listed.clone());
         let dropped_log_lines = gauge::Gauge::default();
         let help = "log lines that found no room";
         registry.register("log_lines_dropped", help, dropped_log_lines.clone());
@@ -78,6 +82,7 @@
             answer_seconds,
             first_byte_seconds,
             configuration_version,
+            hosts_listed,
             dropped_log_lines,
         }
     }
@@ -111,6 +116,7 @@
             attempt::AttemptError::NotWritten => "not_written",
             attempt::AttemptError::Declined(_) => "declined",
             attempt::AttemptError::Broken(_) => "broken",
+            attempt::AttemptError::ServerEnded(_) => "server_ended",
             attempt::AttemptError::TimedOut { .. } => "silent",
             attempt::AttemptError::Mismatched => "foreign",
             attempt::AttemptError::Unsealed => "unsealed",
@@ -147,6 +153,11 @@
         self.configuration_version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of hosts whose addresses callers are given.
+    pub fn set_hosts_listed(&self, hosts: usize) {
+        self.hosts_listed.set(i64::try_from(hosts).unwrap_or(i64::MAX));
+    }
+
     /// Encodes the metrics as text.
     ///
     /// # Errors
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -23,6 +23,9 @@
 /// closing the connection is noticed only when the connection is used.
 const KEEP_ALIVE_MAX_MS: u64 = 10_000;
 
+/// Time for a server to accept a connection that only tests whether it still runs, in milliseconds.
+const LIVENESS_TIMEOUT_MS: u64 = 100;
+
 /// Body of a request to a server.
 pub type RequestBody = http_body_util::Full<bytes::Bytes>;
 
@@ -189,6 +192,17 @@
     Broken(hyper::Error),
 }
 
+/// Returns whether a server's process has ended, as shown by a refused connection.
+///
+/// A server that cannot be reached at all may be cut off from this host and still run.
+pub async fn has_ended(address: net::SocketAddr) -> bool {
+    let timeout = time::Duration::from_millis(LIVENESS_TIMEOUT_MS);
+    match tokio::time::timeout(timeout, tokio::net::TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 async fn open_connection(key: ServerKey) -> std::io::Result<Connection> {
     let timeout = time::Duration::from_millis(CONNECT_TIMEOUT_MS);
     let stream = tokio::time::timeout(timeout, tokio::net::TcpStream::connect(key.0)).await??;
