Reject requests under which three servers ended

A request that crashes each server that runs it was sent on by every host, try after try: in the test, four tries at one host ended eight servers, and hosts that had not seen it, or had restarted, started anew. The gateway kept no record of the content of a request under which a server ended; only the daemon had one (policy/poison.rs), which the gateway never used. The class of fault is a limit that is kept per request where the harm is done by a content.

A broken connection to a server that then refuses a new one now counts as a crash under the content: organisation, method, path and body. Hosts report crashes as objects in the store, so that they add up over hosts and outlive restarts; reports that the store does not show are written again.

Subscribers name the kinds that they want, so relays send the new kind only to hosts that know it. The recorded subscription has that field, which earlier builds ignore; the test compares it, and checks that an earlier subscriber receives no frame that it does not know.

--- a/crates/daemon/tests/crashing_requests.rs
+++ b/crates/daemon/tests/crashing_requests.rs
@@ -2,6 +2,7 @@
 
 mod gateway_fleet;
 
+use std::sync::Mutex;
 use std::time;
 
 use gateway_fleet::GatewayFleet;
@@ -14,6 +15,8 @@
 const CRASHING_PATH: &str = "/read/crash";
 /// Time after which a crashed server is back.
 const DOWNTIME: time::Duration = time::Duration::from_millis(300);
+/// Time until hosts know of a change of a server, less than the `drain_ms` setting.
+const REGISTRATION_TIME: time::Duration = time::Duration::from_secs(1);
 /// Servers that a request may crash before it is blocked on every host.
 const CRASH_LIMIT: usize = 3;
 /// Time until all hosts know of a crash, as in the `contact_ms` setting.
@@ -22,6 +25,8 @@
 struct Deployment {
     fleet: GatewayFleet,
     servers: Vec<backend::Backend>,
+    /// When the registered run of each server was born.
+    born: Mutex<Vec<usize>>,
 }
 
 impl Deployment {
@@ -33,9 +38,33 @@
             server.crash_on(CRASHING_PATH, DOWNTIME);
             servers.push(server);
         }
-        let registered: Vec<_> = servers.iter().map(|server| ("desk", server)).collect();
-        let fleet = GatewayFleet::start(HOST_COUNT, &registered).await;
-        Self { fleet, servers }
+        let fleet = GatewayFleet::prepare().await;
+        fleet.store.put("config", "main", &gateway_fleet::configuration(2));
+        let born = Mutex::new(vec![0; SERVER_COUNT]);
+        let mut deployment = Self { fleet, servers, born };
+        deployment.register_servers();
+        for _ in 0..HOST_COUNT {
+            deployment.fleet.add_ready_host().await;
+        }
+        deployment
+    }
+
+    /// Registers the servers that have started since the last call.
+    fn register_servers(&self) {
+        let mut born = self.born.lock().expect("the lock is not poisoned");
+        for (server, born) in self.servers.iter().zip(born.iter_mut()) {
+            // Each run of a server is born at another time.
+            let current = 1 + server.crashes();
+            if *born != current {
+                *born = current;
+                let spec = serde_json::json!({
+                    "service": "desk", "address": server.address, "zone": "dc-1", "version": "v1",
+                    "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+                    "born": current,
+                });
+                self.fleet.store.put("servers", &server.id, &spec);
+            }
+        }
     }
 
     fn crashes(&self) -> usize {
@@ -45,10 +74,17 @@
     /// Sends the crashing request and waits until the servers that it crashed are back.
     async fn send_crashing(&self, index: usize) -> Option<u16> {
         let response = self.fleet.send(index, "GET", CRASHING_PATH, &[]).await;
-        tokio::time::sleep(DOWNTIME * 2).await;
+        self.wait_for_servers().await;
         response.map(|response| response.status)
     }
 
+    /// Waits until the crashed servers are back and all hosts know them.
+    async fn wait_for_servers(&self) {
+        tokio::time::sleep(DOWNTIME).await;
+        self.register_servers();
+        tokio::time::sleep(REGISTRATION_TIME).await;
+    }
+
     /// Sends the crashing request until it has crashed as many servers as it may.
     async fn crash_until_limit(&self, index: usize) {
         for _ in 0..CRASH_LIMIT {
@@ -106,8 +142,9 @@
         }
         let response = deployment.fleet.send(index, "POST", path, &[]).await.expect("a response");
         assert_eq!(response.status, 502);
-        tokio::time::sleep(CONTACT_LIMIT).await;
+        deployment.wait_for_servers().await;
     }
+    tokio::time::sleep(CONTACT_LIMIT).await;
     assert_eq!(deployment.crashes(), CRASH_LIMIT);
     for index in 0..HOST_COUNT {
         let response = deployment.fleet.send(index, "POST", "/book/crash", &[]).await;
@@ -127,7 +164,7 @@
     }
     while deployment.crashes() < CRASH_LIMIT {
         deployment.fleet.send(0, "GET", "/read/x", &[]).await;
-        tokio::time::sleep(DOWNTIME * 2).await;
+        deployment.wait_for_servers().await;
     }
     for server in &deployment.servers {
         server.crash_on(CRASHING_PATH, DOWNTIME);
--- a/crates/daemon/tests/recorded.rs
+++ b/crates/daemon/tests/recorded.rs
@@ -185,6 +185,13 @@
             frames.push(frame);
         }
     }
+    let frame_types = recorded_frames().iter().map(frame_type).collect::<Vec<_>>().join(" ");
+    let known_words: Vec<_> = frame_types.split(' ').collect();
+    for frame in &frames {
+        let frame_type = frame_type(frame);
+        let is_known = frame_type.split(' ').all(|word| known_words.contains(&word));
+        assert!(is_known, "the earlier build does not know the frame `{frame_type}`");
+    }
     for expected in recorded_frames() {
         let frame_type = frame_type(&expected);
         let found = frames.iter().find(|frame| self::frame_type(frame) == frame_type);
@@ -213,7 +220,11 @@
 
     let (mut stream, _) = relay.accept().await.expect("the host connects");
     let subscription = receive_frame(&mut stream).await.expect("a subscription");
-    let expected = serde_json::json!({ "host": "host-0", "relay_run_id": entry["run_id"] });
+    // The earlier build ignores the kinds, and sends those that it knows.
+    let kinds = ["config", "servers", "rollouts", "toucanwall-hosts", "toucanwall-crashes"];
+    let expected = serde_json::json!({
+        "host": "host-0", "relay_run_id": entry["run_id"], "kinds": kinds,
+    });
     assert_eq!(subscription, expected);
     let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH).expect("a time");
     let hosts = listing_with_relays(&entry);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,6 +13,13 @@
 use crate::pool;
 use crate::state;
 
+/// Time after the first byte of a response in which a request counts as just started, in
+/// milliseconds.
+const START_MS: u64 = 500;
+
+/// Time after which a server that broke a connection is checked again, in milliseconds.
+const LATE_END_MS: u64 = 50;
+
 /// A response of which the head has been received and the body has not been read.
 #[derive(Debug)]
 pub struct OpenResponse {
@@ -78,6 +85,7 @@
     pub server: Arc<server::BackendServer>,
     side: Option<canary::Side>,
     route_hash: u64,
+    content_hash: u64,
     forecast_key: state::ForecastKey,
     /// Work of processing the prompt, in prompt tokens of the smallest model.
     prompt_units: u64,
@@ -87,7 +95,7 @@
     /// Maximum number of idle connections to the server.
     idle_max: u32,
     sent_at_ms: u64,
-    has_first_byte: bool,
+    first_byte_at_ms: Option<u64>,
     outcome: Option<placement::Outcome>,
 }
 
@@ -138,12 +146,7 @@
                 return Err((AttemptError::NotWritten, not_written));
             }
             Ok(Err(pool::SendError::Broken(error))) => {
-                in_flight.record_outcome(placement::Outcome::Failed);
-                let error = error.to_string();
-                if pool::has_ended(in_flight.server.address).await {
-                    return Err((AttemptError::ServerEnded(error), None));
-                }
-                return Err((AttemptError::Broken(error), None));
+                return Err((in_flight.record_break(error.to_string()).await, None));
             }
             Err(_elapsed) => {
                 in_flight.record_outcome(placement::Outcome::Failed);
@@ -197,12 +200,13 @@
             server,
             side,
             route_hash: exchange.route_hash(),
+            content_hash: exchange.content_hash,
             forecast_key: (exchange.service.clone(), exchange.model.clone()),
             prompt_units: request.prompt_units(),
             units_before_first_byte: units,
             idle_max: exchange.connection_limits().idle_max,
             sent_at_ms,
-            has_first_byte: false,
+            first_byte_at_ms: None,
             outcome: None,
         }
     }
@@ -210,10 +214,11 @@
     /// Records the first byte of a stream, or the head of a response that is buffered in full; only
     /// the first call has an effect.
     pub fn record_first_byte(&mut self) {
-        if !self.has_first_byte {
-            self.has_first_byte = true;
+        if self.first_byte_at_ms.is_none() {
+            let now_ms = self.state.clock.now_ms();
+            self.first_byte_at_ms = Some(now_ms);
             self.state.placement().record_first_byte(&self.server.id, self.prompt_units);
-            let first_byte_ms = self.state.clock.now_ms().saturating_sub(self.sent_at_ms);
+            let first_byte_ms = now_ms.saturating_sub(self.sent_at_ms);
             self.state.metrics.record_first_byte(first_byte_ms);
             if self.prompt_units > 0 {
                 self.state.record_first_byte_time(
@@ -235,6 +240,43 @@
         self.state.pool.release(connection, keep_alive, self.idle_max);
     }
 
+    /// Records that the server ran the request to a successful end.
+    pub fn record_success(&mut self) {
+        self.record_outcome(placement::Outcome::Fine);
+        self.state.crashes.record_success(self.content_hash);
+    }
+
+    /// Records that the connection broke, and whether the server ended under the request.
+    ///
+    /// A server that had been running the request for a while did not end because of it.
+    pub async fn record_break(&mut self, reason: String) -> AttemptError {
+        self.record_outcome(placement::Outcome::Failed);
+        let now_ms = self.state.clock.now_ms();
+        let has_run = self.first_byte_at_ms.is_some_and(|at_ms| now_ms >= at_ms + START_MS);
+        if has_run {
+            return AttemptError::Broken(reason);
+        }
+        if pool::has_ended(self.server.address).await {
+            self.state.crashes.record_crash(self.content_hash, &self.server, now_ms);
+            return AttemptError::ServerEnded(reason);
+        }
+        tokio::spawn(self.check_late_end());
+        AttemptError::Broken(reason)
+    }
+
+    /// Records that the server ended if it does not accept connections a little later: an ending
+    /// process may close its listening socket after the connections.
+    fn check_late_end(&self) -> impl Future<Output = ()> + use<> {
+        let (state, server) = (Arc::clone(&self.state), Arc::clone(&self.server));
+        let content_hash = self.content_hash;
+        async move {
+            tokio::time::sleep(time::Duration::from_millis(LATE_END_MS)).await;
+            if pool::has_ended(server.address).await {
+                state.crashes.record_crash(content_hash, &server, state.clock.now_ms());
+            }
+        }
+    }
+
     /// Records how the attempt ended; only the first call has an effect.
     pub fn record_outcome(&mut self, outcome: placement::Outcome) {
         if self.outcome.is_none() {
@@ -273,7 +315,7 @@
     fn drop(&mut self) {
         let now_ms = self.state.clock.now_ms();
         let mut placement = self.state.placement();
-        if !self.has_first_byte {
+        if self.first_byte_at_ms.is_none() {
             placement.record_first_byte(&self.server.id, self.prompt_units);
         }
         let outcome = self.outcome.unwrap_or(placement::Outcome::Cancelled);
--- a/crates/gateway/src/change_feed.rs
+++ b/crates/gateway/src/change_feed.rs
@@ -27,9 +27,10 @@
 /// The batching delay between two watch calls is the deadline for a change divided by this number.
 /// One call then returns many changes, and most of the time until the deadline is left.
 const BATCH_DIVISOR: u64 = 4;
-/// The batching delay for changes of hosts is the time after which a silent host is out of contact
-/// divided by this number. Most of that time is needed to notice that the host is silent.
-const HOSTS_BATCH_DIVISOR: u64 = 6;
+/// The batching delay for changes of hosts and for reports of crashes is the time after which a
+/// silent host is out of contact divided by this number. Most of that time is needed to notice that
+/// a host is silent.
+const CONTACT_BATCH_DIVISOR: u64 = 6;
 /// Shortest time for which a host watches the store, and interval at which it then looks for a
 /// relay, in milliseconds. After this time, hosts that start together have registered and restarted
 /// relays are ready.
@@ -166,7 +167,8 @@
             (object::Kind::Configuration, settings.bounds.config_apply_ms / BATCH_DIVISOR),
             (object::Kind::Servers, settings.bounds.drain_ms / BATCH_DIVISOR),
             (object::Kind::Rollouts, 0),
-            (object::Kind::Hosts, settings.bounds.contact_ms / HOSTS_BATCH_DIVISOR),
+            (object::Kind::Hosts, settings.bounds.contact_ms / CONTACT_BATCH_DIVISOR),
+            (object::Kind::CrashReports, settings.bounds.contact_ms / CONTACT_BATCH_DIVISOR),
         ] {
             let watcher = watcher::Watcher::new(
                 kind,
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -19,7 +19,9 @@
 
 use crate::change_feed;
 use crate::clock;
+use crate::crashes;
 use crate::host_pings;
+use crate::ingress;
 use crate::metrics;
 use crate::relay;
 use crate::rollouts;
@@ -37,6 +39,8 @@
 /// Time after which a roll-out state is written again if the store has not reported it, in
 /// milliseconds.
 const REWRITE_AFTER_MS: u64 = 700;
+/// Interval at which expired crash reports are looked for, in milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 60_000;
 /// Time after which this host's entry is written again if the store has not shown it, in
 /// milliseconds: longer than a write and the batching delay for changes of hosts.
 const REREGISTER_AFTER_MS: u64 = 1_500;
@@ -52,6 +56,8 @@
     pub clock: clock::Clock,
     /// Channel on which views are published.
     pub views: tokio::sync::watch::Sender<Arc<view::View>>,
+    /// Requests under which servers ended, shared with the traffic thread.
+    pub crashes: Arc<crashes::Crashes>,
     /// Roll-outs known to this host, shared with the traffic thread.
     pub rollouts: Arc<rollouts::Rollouts>,
     /// Metrics of the host.
@@ -108,6 +114,10 @@
     relay: Arc<relay::Relay>,
     /// Watches other hosts for losses.
     host_monitor: host_monitor::HostMonitor,
+    /// Reports of servers that ended.
+    crash_reports: crashes::ReportLog,
+    /// When expired crash reports are looked for next, in milliseconds.
+    next_expiry_ms: u64,
     /// When a write of this host's entry was last requested, in milliseconds; `None` once the host
     /// has withdrawn its entry.
     registered_ms: Option<u64>,
@@ -138,6 +148,8 @@
             writes,
             relay,
             host_monitor,
+            crash_reports: crashes::ReportLog::default(),
+            next_expiry_ms: 0,
             registered_ms: None,
             revisions: collections::BTreeMap::new(),
             recent_writes: Vec::new(),
@@ -350,6 +362,12 @@
                 self.local_state
                     .replace_hosts(objects.iter().filter_map(change_feed::decode_host).collect());
             }
+            object::Kind::CrashReports => {
+                self.crash_reports.clear_stored();
+                for object in objects {
+                    self.apply_crash_report(object);
+                }
+            }
         }
     }
 
@@ -398,6 +416,47 @@
                 }
             }
             (object::Kind::Hosts, true) => self.local_state.remove_host(name),
+            (object::Kind::CrashReports, false) => self.apply_crash_report(&change.object),
+            (object::Kind::CrashReports, true) => self.crash_reports.record_removed(name),
+        }
+    }
+
+    /// Learns of a server that ended under requests of this or another host.
+    fn apply_crash_report(&mut self, object: &object::Object) {
+        let metadata = &object.metadata;
+        match serde_json::from_str::<crashes::Report>(object.spec_text()) {
+            Ok(report) => {
+                self.inputs.crashes.merge(&report, self.inputs.clock.now());
+                self.crash_reports.record_stored(&metadata.name, metadata.revision, &report);
+            }
+            Err(error) => log::warn!(
+                target: "toucanwall", report = &*metadata.name, why = error.to_string();
+                "malformed crash report ignored"
+            ),
+        }
+    }
+
+    /// Reports servers that ended under requests, and removes expired reports.
+    fn write_crash_reports(&mut self, now_ms: u64) {
+        let now = self.inputs.clock.now();
+        for report in self.inputs.crashes.take_unreported(now) {
+            self.crash_reports.add(report, self.inputs.host.run_id);
+        }
+        if self.local_state.is_store_lost() {
+            return;
+        }
+        for (name, report) in self.crash_reports.take_due_writes(now_ms) {
+            self.request_write(store_writer::Write::CreateCrashReport(name, report));
+        }
+        if now_ms < self.next_expiry_ms {
+            return;
+        }
+        self.next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS;
+        let view = Arc::clone(&self.inputs.views.borrow());
+        for (name, revision) in self.crash_reports.expire(now.unix_ms) {
+            if view.rank_of(&self.inputs.settings.host, ingress::stable_hash(&name)) == 0 {
+                self.request_write(store_writer::Write::RemoveCrashReport(name, revision));
+            }
         }
     }
 
@@ -446,6 +505,7 @@
         let now_ms = self.inputs.clock.now_ms();
         self.check_registration(now_ms);
         self.remove_lost_hosts(now_ms);
+        self.write_crash_reports(now_ms);
         let expired = self.local_state.tick(now_ms);
         if !expired.is_empty() {
             log::info!(target: "toucanwall", servers:? = expired; "servers did not re-register after an outage");
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,6 +8,7 @@
 use toucanwall_platform::response;
 use toucanwall_policy::admission;
 use toucanwall_policy::canary;
+use toucanwall_policy::crash_history;
 use toucanwall_policy::placement;
 use toucanwall_routing::configuration;
 use toucanwall_routing::name;
@@ -214,6 +215,12 @@
                 "no time left",
             );
         }
+        let verdict = self.state.crashes.verdict(self.content_hash, now_ms);
+        if let crash_history::Verdict::Blocked { retry_after_ms } = verdict {
+            let status = hyper::StatusCode::BAD_GATEWAY;
+            let reason = "servers ended under this request";
+            return Self::give_up(execution, status, Some(retry_after_ms), reason);
+        }
         let is_unknown = matches!(execution, execution::Status::Unknown);
         let bad_gateway = hyper::StatusCode::BAD_GATEWAY;
         if is_unknown && !self.allows_retry() {
@@ -340,11 +347,11 @@
         in_flight.release_connection(connection, head.keep_alive);
         let status = head.status;
         let is_failure = status.is_server_error();
-        in_flight.record_outcome(if is_failure {
-            placement::Outcome::Failed
+        if is_failure {
+            in_flight.record_outcome(placement::Outcome::Failed);
         } else {
-            placement::Outcome::Fine
-        });
+            in_flight.record_success();
+        }
         let mut response = hyper::Response::new(bytes);
         *response.status_mut() = status;
         *response.headers_mut() = response::encode(&parts.headers);
--- a/crates/gateway/src/frame.rs
+++ b/crates/gateway/src/frame.rs
@@ -33,6 +33,10 @@
     /// Run id of the relay process that the host expects, since an address may have been reassigned
     /// to another process.
     pub relay_run_id: u64,
+    /// Kinds of objects that the host wants to receive, by their names in the store; if empty, the
+    /// kinds that each build knows. Unknown ones are ignored.
+    #[serde(default)]
+    pub kinds: Vec<String>,
 }
 
 /// A message from a relay to a subscriber.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod change_feed;
 mod clock;
 mod control;
+mod crashes;
 mod dispatch_parameters;
 mod endpoints;
 mod exchange;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -27,15 +27,23 @@
 const SUBSCRIBER_TIMEOUT_MS: u64 = 2_000;
 /// Delay after a connection could not be accepted, in milliseconds.
 const ACCEPT_RETRY_DELAY_MS: u64 = 10;
-/// Kinds of objects that a subscriber needs before it can route requests.
-const REQUIRED_KINDS: [object::Kind; 4] = [
+/// Kinds of objects that subscribers of each build know and need before they can route requests.
+const COMMON_KINDS: [object::Kind; 4] = [
     object::Kind::Configuration,
     object::Kind::Servers,
     object::Kind::Rollouts,
     object::Kind::Hosts,
 ];
 
-type MessageReceiver = tokio::sync::broadcast::Receiver<bytes::Bytes>;
+type MessageReceiver = tokio::sync::broadcast::Receiver<Message>;
+
+/// An encoded message to subscribers.
+#[derive(Debug, Clone)]
+struct Message {
+    /// Kind of the objects that it is about; `None` if it is for all subscribers.
+    kind: Option<object::Kind>,
+    bytes: bytes::Bytes,
+}
 
 /// Forwards store events to subscribers while this host watches the store itself.
 #[derive(Debug)]
@@ -44,7 +52,7 @@
     run_id: u64,
     rollouts: Arc<rollouts::Rollouts>,
     cache: Mutex<ObjectCache>,
-    messages: tokio::sync::broadcast::Sender<bytes::Bytes>,
+    messages: tokio::sync::broadcast::Sender<Message>,
     /// Reachability of the store; `None` while this host does not watch the store.
     tracker: tokio::sync::watch::Sender<Option<reachability::Tracker>>,
     /// Number of connected subscribers.
@@ -120,16 +128,17 @@
                 if self.subscriber_count() > 0
                     && let Some(message) = cache.message(listing.kind)
                 {
-                    self.send(message);
+                    self.send(Message { kind: Some(listing.kind), bytes: message });
                 }
             }
             store_event::Event::Changed(change_set) => {
                 cache.apply(change_set);
-                self.encode_and_send(&frame::Frame::ChangeSet(change_set.clone()));
+                let frame = frame::Frame::ChangeSet(change_set.clone());
+                self.encode_and_send(Some(change_set.kind), &frame);
             }
             store_event::Event::Unavailable(_) | store_event::Event::Available => {
                 if let Some(heartbeat) = self.heartbeat() {
-                    self.encode_and_send(&heartbeat);
+                    self.encode_and_send(None, &heartbeat);
                 }
             }
         }
@@ -155,7 +164,7 @@
         let timeout = time::Duration::from_millis(SUBSCRIBER_TIMEOUT_MS);
         match tokio::time::timeout(timeout, receive_subscribe(connection)).await {
             Ok(Ok((connection, subscribe))) if subscribe.relay_run_id == self.run_id => {
-                let result = self.serve_subscriber(connection).await;
+                let result = self.serve_subscriber(connection, &requested_kinds(&subscribe)).await;
                 log::info!(
                     target: "toucanwall", listener = subscribe.host, listeners = self.subscriber_count(),
                     why = result.err().map(|error| error.to_string()); "subscriber disconnected"
@@ -172,9 +181,13 @@
         }
     }
 
-    async fn serve_subscriber(&self, mut connection: frame::Connection) -> io::Result<()> {
+    async fn serve_subscriber(
+        &self,
+        mut connection: frame::Connection,
+        kinds: &collections::BTreeSet<object::Kind>,
+    ) -> io::Result<()> {
         let mut tracker = self.tracker.subscribe();
-        let Some((lists, mut messages, _guard)) = self.add_subscriber() else {
+        let Some((lists, mut messages, _guard)) = self.add_subscriber(kinds) else {
             // Closing the connection makes the subscriber try another host.
             return Ok(());
         };
@@ -186,7 +199,13 @@
         heartbeats.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             let message = tokio::select! {
-                message = messages.recv() => message.map_err(io::Error::other)?,
+                message = messages.recv() => {
+                    let message = message.map_err(io::Error::other)?;
+                    if message.kind.is_some_and(|kind| !kinds.contains(&kind)) {
+                        continue;
+                    }
+                    message.bytes
+                }
                 _ = heartbeats.tick() => match self.heartbeat() {
                     Some(heartbeat) => frame::encode(&heartbeat)?,
                     None => return Ok(()),
@@ -212,13 +231,15 @@
         Ok(())
     }
 
-    /// Adds a subscriber: returns the lists of all kinds and a receiver of later messages, or
+    /// Adds a subscriber: returns the lists of the kinds and a receiver of later messages, or
     /// `None` unless this host watches the store, has listed all kinds and can reach the store.
-    fn add_subscriber(&self) -> Option<(Vec<bytes::Bytes>, MessageReceiver, SubscriberGuard<'_>)> {
+    fn add_subscriber(
+        &self,
+        kinds: &collections::BTreeSet<object::Kind>,
+    ) -> Option<(Vec<bytes::Bytes>, MessageReceiver, SubscriberGuard<'_>)> {
         self.tracker.borrow().as_ref().filter(|tracker| tracker.is_reachable())?;
         let mut cache = self.lock();
-        let lists: Option<Vec<_>> =
-            REQUIRED_KINDS.into_iter().map(|kind| cache.message(kind)).collect();
+        let lists: Option<Vec<_>> = kinds.iter().map(|kind| cache.message(*kind)).collect();
         // The subscriber is counted before the lock is released, so that it misses no later event.
         Some((lists?, self.messages.subscribe(), SubscriberGuard::new(self)))
     }
@@ -230,19 +251,19 @@
         Some(frame::Frame::Heartbeat { store_age_ms, has_store: tracker.is_reachable() })
     }
 
-    fn encode_and_send(&self, frame: &frame::Frame) {
+    fn encode_and_send(&self, kind: Option<object::Kind>, frame: &frame::Frame) {
         if self.subscriber_count() == 0 {
             return;
         }
         match frame::encode(frame) {
-            Ok(message) => self.send(message),
+            Ok(bytes) => self.send(Message { kind, bytes }),
             Err(error) => log::error!(
                 target: "toucanwall", why = error.to_string(); "cannot encode store event for subscribers"
             ),
         }
     }
 
-    fn send(&self, message: bytes::Bytes) {
+    fn send(&self, message: Message) {
         if self.messages.send(message).is_err() {
             log::trace!(target: "toucanwall", "no subscriber is connected");
         }
@@ -301,6 +322,16 @@
     }
 }
 
+/// The kinds of objects that a subscriber wants to receive.
+fn requested_kinds(subscribe: &frame::Subscribe) -> collections::BTreeSet<object::Kind> {
+    if subscribe.kinds.is_empty() {
+        return COMMON_KINDS.into_iter().collect();
+    }
+    let is_requested =
+        |kind: &object::Kind| subscribe.kinds.iter().any(|name| name == kind.as_str());
+    object::Kind::ALL.into_iter().filter(is_requested).collect()
+}
+
 /// Receives the first message of a subscriber.
 async fn receive_subscribe(
     mut connection: frame::Connection,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,6 +18,7 @@
 
 use crate::clock;
 use crate::control;
+use crate::crashes;
 use crate::endpoints;
 use crate::ingress;
 use crate::logging;
@@ -109,6 +110,7 @@
     );
     let metrics = Arc::new(metrics::Metrics::new());
     let rollouts = Arc::new(rollouts::Rollouts::new(settings.bounds.exposure_fraction));
+    let crashes = Arc::new(crashes::Crashes::new());
     let (views, view) = tokio::sync::watch::channel(Arc::new(view::View::default()));
     let address = settings.peer_address;
     let peer_listener = net::TcpListener::bind(address)
@@ -125,12 +127,19 @@
         clock,
         views,
         rollouts: Arc::clone(&rollouts),
+        crashes: Arc::clone(&crashes),
         metrics: Arc::clone(&metrics),
     };
     let commands = control::start(inputs, peer_listener, ping_socket)
         .map_err(|error| RunError::Start(error.to_string()))?;
-    let state =
-        Arc::new(state::GatewayState::new(Arc::clone(&settings), clock, view, rollouts, metrics));
+    let state = Arc::new(state::GatewayState::new(
+        Arc::clone(&settings),
+        clock,
+        view,
+        rollouts,
+        crashes,
+        metrics,
+    ));
     let (shutdown, shutdown_receiver) = tokio::sync::watch::channel(false);
     listen(&state, &settings, shutdown_receiver).await?;
     tokio::spawn(run_housekeeping(Arc::clone(&state)));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,6 +15,7 @@
 use toucanwall_routing::view;
 
 use crate::clock;
+use crate::crashes;
 use crate::metrics;
 use crate::pool;
 use crate::rollouts;
@@ -34,6 +35,8 @@
     pub placement: Mutex<placement::Placement>,
     /// Roll-outs in progress.
     pub rollouts: Arc<rollouts::Rollouts>,
+    /// Requests under which servers ended.
+    pub crashes: Arc<crashes::Crashes>,
     /// Counters and histograms.
     pub metrics: Arc<metrics::Metrics>,
     /// Number of requests that have been received and have no complete response yet.
@@ -72,6 +75,7 @@
         clock: clock::Clock,
         view: tokio::sync::watch::Receiver<Arc<view::View>>,
         rollouts: Arc<rollouts::Rollouts>,
+        crashes: Arc<crashes::Crashes>,
         metrics: Arc<metrics::Metrics>,
     ) -> Self {
         Self {
@@ -81,6 +85,7 @@
             pool: Arc::new(pool::Pool::default()),
             placement: Mutex::new(placement::Placement::new()),
             rollouts,
+            crashes,
             metrics,
             open_requests: atomic::AtomicUsize::new(0),
             lifecycle: Lifecycle::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -227,9 +227,12 @@
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if splitter.is_at_boundary() => return Ok(UpstreamItem::End),
                 Ok(None) => {
-                    return Err(self.fail("stream ended within an event".to_owned()));
+                    let reason = "stream ended within an event".to_owned();
+                    return Err(self.in_flight.record_break(reason).await);
+                }
+                Ok(Some(Err(error))) => {
+                    return Err(self.in_flight.record_break(error.to_string()).await);
                 }
-                Ok(Some(Err(error))) => return Err(self.fail(error.to_string())),
                 Err(_elapsed) => {
                     self.in_flight.record_outcome(placement::Outcome::Failed);
                     let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
@@ -241,18 +244,16 @@
             match splitter.push(&data) {
                 Ok(events) if events.is_empty() => {}
                 Ok(events) => return Ok(UpstreamItem::Events(events)),
-                Err(error) => return Err(self.fail(error.to_string())),
+                Err(error) => {
+                    self.in_flight.record_outcome(placement::Outcome::Failed);
+                    return Err(attempt::AttemptError::Broken(error.to_string()));
+                }
             }
         }
     }
 
-    fn fail(&mut self, reason: String) -> attempt::AttemptError {
-        self.in_flight.record_outcome(placement::Outcome::Failed);
-        attempt::AttemptError::Broken(reason)
-    }
-
     fn finish(mut self) {
-        self.in_flight.record_outcome(placement::Outcome::Fine);
+        self.in_flight.record_success();
         self.in_flight.release_connection(self.connection, self.head.keep_alive);
     }
 }
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -6,6 +6,7 @@
 
 use futures_util::SinkExt as _;
 use futures_util::StreamExt as _;
+use toucanwall_platform::object;
 use toucanwall_routing::host;
 
 use crate::frame;
@@ -64,8 +65,11 @@
 ) -> io::Result<Subscription> {
     let stream = tokio::net::TcpStream::connect(relay.peer_address).await?;
     stream.set_nodelay(true)?;
-    let subscribe =
-        frame::Subscribe { host: own_host.name.as_str().to_owned(), relay_run_id: relay.run_id };
+    let subscribe = frame::Subscribe {
+        host: own_host.name.as_str().to_owned(),
+        relay_run_id: relay.run_id,
+        kinds: object::Kind::ALL.iter().map(|kind| kind.as_str().to_owned()).collect(),
+    };
     let mut connection = frame::connection(stream);
     connection.send(frame::encode(&subscribe)?).await?;
     let mut subscription = Subscription { relay, connection, first_frame: None };
--- /dev/null
+++ b/crates/policy/src/crash_history.rs
@@ -0,0 +1,127 @@
+//! Requests under which backend servers ended, recognised by a hash of their content.
+//!
+//! A request may crash each server that begins to run it, and it comes back, at any host. Without a
+//! record, each try takes down another server until a service has none left. Hosts therefore share
+//! which contents were in flight when a server ended, and reject a content for which that happened
+//! [`CRASHES_TO_BLOCK`] times.
+//!
+//! Unlike [`crate::poison`], suspects are not held back until another one has succeeded: callers of
+//! the users' platform come back within seconds, and most suspects are innocent.
+
+use std::collections;
+
+use toucanwall_routing::name;
+
+/// Runs of servers that must end under a content before it is rejected. One or two crashes may be a
+/// coincidence: all requests in flight on a server are suspects if it crashes.
+pub const CRASHES_TO_BLOCK: usize = 3;
+/// The same for a content that some server ran successfully. Many callers may ask for it at once,
+/// so that it is in flight on each server that ends for another reason.
+const CRASHES_TO_BLOCK_SUCCEEDED: usize = 6;
+/// Time for which a crash is remembered, in milliseconds.
+pub const CRASH_TTL_MS: u64 = 3_600_000;
+/// Maximum number of contents under which a server ended.
+const MAX_SUSPECTS: usize = 16_384;
+/// Maximum number of contents in each of the two generations of successful ones.
+const MAX_SUCCEEDED: usize = 8_192;
+
+/// A run of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ServerRun {
+    /// Id of the server.
+    pub server: name::ServerId,
+    /// When the run started, in milliseconds since the Unix epoch; tells apart two runs under the
+    /// same id.
+    pub started_unix_ms: Option<u64>,
+}
+
+/// Whether a content may be sent to servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may be sent.
+    Allowed,
+    /// It ended too many servers.
+    Blocked {
+        /// Time until one of the crashes is forgotten, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+/// What a host knows of contents under which servers ended.
+#[derive(Debug, Default)]
+pub struct CrashHistory {
+    /// When each run of a server ended under a content.
+    crashes: collections::BTreeMap<u64, collections::BTreeMap<ServerRun, u64>>,
+    /// Contents that servers ran successfully, in two generations of which the older is dropped
+    /// once the newer is full.
+    succeeded: collections::BTreeSet<u64>,
+    succeeded_before: collections::BTreeSet<u64>,
+}
+
+impl CrashHistory {
+    /// Creates an empty history.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Whether a content may be sent to servers.
+    #[must_use]
+    pub fn verdict(&self, content_hash: u64, now_ms: u64) -> Verdict {
+        let Some(crashes) = self.crashes.get(&content_hash) else { return Verdict::Allowed };
+        let mut remaining_ms: Vec<_> = crashes
+            .values()
+            .map(|at_ms| (at_ms + CRASH_TTL_MS).saturating_sub(now_ms))
+            .filter(|remaining_ms| *remaining_ms > 0)
+            .collect();
+        remaining_ms.sort_unstable_by(|a, b| b.cmp(a));
+        let limit = if self.has_succeeded(content_hash) {
+            CRASHES_TO_BLOCK_SUCCEEDED
+        } else {
+            CRASHES_TO_BLOCK
+        };
+        match remaining_ms.get(limit - 1) {
+            Some(retry_after_ms) => Verdict::Blocked { retry_after_ms: *retry_after_ms },
+            None => Verdict::Allowed,
+        }
+    }
+
+    /// Records that a server ran a content successfully, which clears it.
+    pub fn record_success(&mut self, content_hash: u64) {
+        if self.succeeded.len() >= MAX_SUCCEEDED {
+            self.succeeded_before = std::mem::take(&mut self.succeeded);
+        }
+        self.succeeded.insert(content_hash);
+        self.crashes.remove(&content_hash);
+    }
+
+    /// Records that a run of a server ended under a content; returns whether that is news which
+    /// other hosts should learn.
+    pub fn record_crash(&mut self, content_hash: u64, run: ServerRun, now_ms: u64) -> bool {
+        if !self.crashes.contains_key(&content_hash) {
+            self.make_room(now_ms);
+        }
+        let crashes = self.crashes.entry(content_hash).or_default();
+        let is_new = crashes.insert(run, now_ms).is_none();
+        is_new && !self.has_succeeded(content_hash)
+    }
+
+    fn has_succeeded(&self, content_hash: u64) -> bool {
+        self.succeeded.contains(&content_hash) || self.succeeded_before.contains(&content_hash)
+    }
+
+    fn make_room(&mut self, now_ms: u64) {
+        if self.crashes.len() < MAX_SUSPECTS {
+            return;
+        }
+        let is_recent = |at_ms: &u64| now_ms < at_ms + CRASH_TTL_MS;
+        self.crashes.retain(|_, runs| runs.values().any(is_recent));
+        if self.crashes.len() >= MAX_SUSPECTS {
+            // Most suspects are innocent and have been in flight at a single crash.
+            self.crashes.retain(|_, runs| runs.len() > 1);
+        }
+        if self.crashes.len() >= MAX_SUSPECTS {
+            self.crashes.pop_first();
+        }
+    }
+}
