Keep the share of a lost host's retry budget out of use for a window

Found while looking for other uses of the host list after the incident: each host may use its share of a service's retry allowance, the allowance divided by the registered hosts. Once the entry of a lost host is removed, the others divide by fewer and spend its share again, which it may have used up just before. Since lost hosts are now removed within seconds, this can happen within one window. Shares are now by the largest number of hosts in the window.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -107,7 +107,8 @@
 
     /// Counts a request of a service towards its retry budget.
     pub fn record_request(&self, service: &name::ServiceName) {
-        self.with_retry_quota(service, |quota| quota.record_request(self.clock.now_ms()));
+        let hosts = self.view().serving_host_count();
+        self.with_retry_quota(service, |quota| quota.record_request(hosts, self.clock.now_ms()));
     }
 
     /// Takes a retry from the retry budget of a service; returns whether one was available.
--- a/crates/policy/src/retry_quota.rs
+++ b/crates/policy/src/retry_quota.rs
@@ -3,7 +3,8 @@
 //! Failures come in bursts, and each retry adds to the load that made the request fail.
 //! The deployment's budget is a fraction of its requests plus an allowance. A host may use its own
 //! share: the fraction of its own requests, and the allowance divided by the number of hosts. The
-//! sum therefore stays within the budget even if hosts cannot reach each other.
+//! sum therefore stays within the budget even if hosts cannot reach each other. A host that was lost
+//! may have used its share just before, so its share is not used by others within the window.
 
 use rand::RngExt as _;
 use toucanwall_routing::number;
@@ -42,6 +43,7 @@
     rounding_milli: u64,
     requests: window::SlidingWindow,
     taken: window::SlidingWindow,
+    host_counts: window::SlidingMax,
 }
 
 impl RetryQuota {
@@ -56,12 +58,14 @@
             rounding_milli: rng.random_range(0..MILLI_PER_RETRY),
             requests: window::SlidingWindow::new(limits.window_ms),
             taken: window::SlidingWindow::new(limits.window_ms),
+            host_counts: window::SlidingMax::new(limits.window_ms),
         }
     }
 
-    /// Records a request to the service.
-    pub fn record_request(&mut self, now_ms: u64) {
+    /// Records a request to the service while there are `host_count` hosts.
+    pub fn record_request(&mut self, host_count: u64, now_ms: u64) {
         self.requests.record(now_ms);
+        self.host_counts.record(host_count, now_ms);
     }
 
     /// Takes one retry, if one is left.
@@ -88,7 +92,8 @@
 
     fn budget(&mut self, host_count: u64, now_ms: u64) -> u64 {
         let from_requests = self.requests.count(now_ms) * to_milli(self.limits.ratio);
-        let allowance = self.limits.allowance * MILLI_PER_RETRY / host_count.max(1);
+        let host_count = self.host_counts.record(host_count, now_ms).max(1);
+        let allowance = self.limits.allowance * MILLI_PER_RETRY / host_count;
         let budget_milli = (from_requests + allowance) * USED_PERCENT / 100;
         (budget_milli + self.rounding_milli) / MILLI_PER_RETRY
     }
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -1,4 +1,4 @@
-//! Event counts over a sliding window of time.
+//! Event counts and maxima over a sliding window of time.
 
 use std::collections;
 
@@ -48,3 +48,35 @@
         }
     }
 }
+
+/// The largest value in a sliding window of time.
+///
+/// Like the events of a [`SlidingWindow`], values are kept slightly longer than the window.
+#[derive(Debug)]
+pub struct SlidingMax {
+    bucket_ms: u64,
+    /// Buckets in order of time, each with its largest value, in falling order of the values: one
+    /// that a later bucket exceeds is never the maximum again.
+    buckets: collections::VecDeque<(u64, u64)>,
+}
+
+impl SlidingMax {
+    /// Creates an empty window of `length_ms` milliseconds.
+    #[must_use]
+    pub fn new(length_ms: u64) -> Self {
+        let bucket_ms = length_ms.div_ceil(BUCKETS).max(1);
+        Self { bucket_ms, buckets: collections::VecDeque::new() }
+    }
+
+    /// Records a value and returns the largest one in the window.
+    pub fn record(&mut self, value: u64, now_ms: u64) -> u64 {
+        let bucket = now_ms / self.bucket_ms;
+        let oldest = bucket.saturating_sub(BUCKETS);
+        while self.buckets.pop_front_if(|(bucket, _)| *bucket < oldest).is_some() {}
+        while self.buckets.pop_back_if(|(_, smaller)| *smaller <= value).is_some() {}
+        if self.buckets.back().is_none_or(|(last, _)| *last < bucket) {
+            self.buckets.push_back((bucket, value));
+        }
+        self.buckets.front().map_or(value, |(_, max)| *max)
+    }
+}
--- a/crates/policy/tests/pressure.rs
+++ b/crates/policy/tests/pressure.rs
@@ -232,7 +232,7 @@
     let mut requested_at_ms = Vec::new();
     for now_ms in (0..30_000).step_by(10) {
         let quota = &mut quotas[usize::try_from(now_ms / 10 % hosts).unwrap_or(0)];
-        quota.record_request(now_ms);
+        quota.record_request(hosts, now_ms);
         requested_at_ms.push(now_ms);
         for _ in 0..3 {
             if quota.try_take(hosts, now_ms) {
@@ -263,7 +263,7 @@
     let (mut wanted, mut allowed) = (0_u64, 0_u64);
     for now_ms in (0..60_000).step_by(25) {
         let quota = &mut quotas[rng.random_range(0..usize::try_from(hosts).unwrap_or(1))];
-        quota.record_request(now_ms);
+        quota.record_request(hosts, now_ms);
         if rng.random_bool(0.5) {
             wanted += 1;
             allowed += u64::from(
