Notice versions whose streams are slow, from the evidence of all hosts

Three causes. Only the time to the first byte was compared, which such a version hardly changes. The old version's times were collected from the order on, too late in a short roll-out. And each host judged by its own few answers, unless others subscribed to it.

The speed of a stream, the lower quartile of the times between its first events, is now compared with the old version of the same kind and model, in every phase; it hardly depends on what servers have cached. Plain answers are compared more sharply than before the cutover. Times of the version in use are kept before there is an order. Hosts tell those that they watch what they have seen, in a datagram when it changes; a host that also reports to its relay is counted once. Failures and speed are separate sums, each with its accepted rate, and at the completion a lesser doubt suffices to revert, since the old servers are gone afterwards.

Test: version_whose_streams_are_slow_is_reverted.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,11 @@
 /// milliseconds.
 const START_MS: u64 = 500;
 
+/// Number of events by which the speed of a stream is measured, unless it takes longer than
+/// [`MEASURED_MS`].
+const MEASURED_EVENTS: usize = 16;
+/// Time after the first byte by which the speed of a stream is measured, in milliseconds.
+const MEASURED_MS: u64 = 800;
 /// Time after which a server that broke a connection is checked again, in milliseconds.
 const LATE_END_MS: u64 = 50;
 
@@ -84,7 +89,7 @@
     /// Server to which the request is sent.
     pub server: Arc<server::BackendServer>,
     side: Option<canary::Side>,
-    route_hash: u64,
+    kind_hash: u64,
     content_hash: u64,
     forecast_key: state::ForecastKey,
     /// Work of processing the prompt, in prompt tokens of the smallest model.
@@ -96,6 +101,11 @@
     idle_max: u32,
     sent_at_ms: u64,
     first_byte_at_ms: Option<u64>,
+    /// Number and time of the latest event of a stream.
+    last_event: Option<(u64, u64)>,
+    /// Times between the first events of a stream, in milliseconds.
+    event_intervals_ms: Vec<u64>,
+    is_rollout_answer_recorded: bool,
     outcome: Option<placement::Outcome>,
 }
 
@@ -199,7 +209,7 @@
             state,
             server,
             side,
-            route_hash: exchange.route_hash(),
+            kind_hash: exchange.kind_hash(),
             content_hash: exchange.content_hash,
             forecast_key: (exchange.service.clone(), exchange.model.clone()),
             prompt_units: request.prompt_units(),
@@ -207,6 +217,9 @@
             idle_max: exchange.connection_limits().idle_max,
             sent_at_ms,
             first_byte_at_ms: None,
+            last_event: None,
+            event_intervals_ms: Vec::new(),
+            is_rollout_answer_recorded: false,
             outcome: None,
         }
     }
@@ -227,7 +240,41 @@
                     first_byte_ms,
                 );
             }
-            self.record_rollout_sample(false, Some(first_byte_ms));
+        }
+    }
+
+    /// Records that the events of a stream up to a number have arrived.
+    pub fn record_events(&mut self, last_event_id: u64) {
+        if self.is_rollout_answer_recorded {
+            return;
+        }
+        let now_ms = self.state.clock.now_ms();
+        let previous = self.last_event.replace((last_event_id, now_ms));
+        if let Some((previous_id, previous_ms)) = previous {
+            let events = last_event_id.saturating_sub(previous_id);
+            let interval_ms = now_ms.saturating_sub(previous_ms).checked_div(events);
+            self.event_intervals_ms.extend(interval_ms);
+        }
+        let first_byte_at_ms = self.first_byte_at_ms.unwrap_or(now_ms);
+        if self.event_intervals_ms.len() >= MEASURED_EVENTS
+            || now_ms >= first_byte_at_ms + MEASURED_MS
+        {
+            self.record_rollout_answer();
+        }
+    }
+
+    /// Records the answer as evidence on the server's version; only the first call has an effect.
+    pub fn record_rollout_answer(&mut self) {
+        if !std::mem::replace(&mut self.is_rollout_answer_recorded, true) {
+            let first_byte_ms =
+                self.first_byte_at_ms.map(|at_ms| at_ms.saturating_sub(self.sent_at_ms));
+            // The lower quartile leaves out pauses in which the server reads the prompts of other
+            // requests.
+            self.event_intervals_ms.sort_unstable();
+            let quartile = self.event_intervals_ms.len() / 4;
+            let event_interval_ms = self.event_intervals_ms.get(quartile).copied();
+            let answer = canary::Answer { has_failed: false, first_byte_ms, event_interval_ms };
+            self.record_rollout_sample(answer);
         }
     }
 
@@ -243,6 +290,7 @@
     /// Records that the server ran the request to a successful end.
     pub fn record_success(&mut self) {
         self.record_outcome(placement::Outcome::Fine);
+        self.record_rollout_answer();
         self.state.crashes.record_success(self.content_hash);
     }
 
@@ -282,25 +330,16 @@
         if self.outcome.is_none() {
             self.outcome = Some(outcome);
             if outcome == placement::Outcome::Failed {
-                self.record_rollout_sample(true, None);
+                let answer = canary::Answer { has_failed: true, ..canary::Answer::default() };
+                self.record_rollout_sample(answer);
             }
         }
     }
 
-    fn record_rollout_sample(&self, has_failed: bool, first_byte_ms: Option<u64>) {
-        if let Some(side) = self.side {
-            let service = &self.server.service;
-            let now_ms = self.state.clock.now_ms();
-            let rollouts = &self.state.rollouts;
-            rollouts.record_response(
-                service,
-                side,
-                self.route_hash,
-                has_failed,
-                first_byte_ms,
-                now_ms,
-            );
-        }
+    fn record_rollout_sample(&self, answer: canary::Answer) {
+        let now_ms = self.state.clock.now_ms();
+        let rollouts = &self.state.rollouts;
+        rollouts.record_response(&self.server.service, self.side, self.kind_hash, answer, now_ms);
     }
 
     fn record_load(&self, head: &response::Head) {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -114,6 +114,8 @@
     relay: Arc<relay::Relay>,
     /// Watches other hosts for losses.
     host_monitor: host_monitor::HostMonitor,
+    /// What this host last told others of roll-outs.
+    sent_reports: Vec<rollouts::Report>,
     /// Reports of servers that ended.
     crash_reports: crashes::ReportLog,
     /// When expired crash reports are looked for next, in milliseconds.
@@ -148,6 +150,7 @@
             writes,
             relay,
             host_monitor,
+            sent_reports: Vec::new(),
             crash_reports: crashes::ReportLog::default(),
             next_expiry_ms: 0,
             registered_ms: None,
@@ -180,9 +183,12 @@
                     }
                     self.publish();
                 }
-                run_id = ping_socket.next_answer() => self.host_monitor.record_answer(run_id),
+                received = ping_socket.receive() => self.handle_datagram(received),
                 _ = ping_rounds.tick() => self.ping_hosts(&ping_socket),
-                _ = ticks.tick() => self.tick(),
+                _ = ticks.tick() => {
+                    self.tick();
+                    self.send_rollout_reports(&ping_socket);
+                }
                 command = commands.recv() => match command {
                     Some(command) => self.handle_command(command),
                     None => return,
@@ -263,6 +269,28 @@
         }
     }
 
+    fn handle_datagram(&mut self, received: host_pings::Received) {
+        match received {
+            host_pings::Received::Answer { run_id } => self.host_monitor.record_answer(run_id),
+            host_pings::Received::Rollouts { host, reports } => {
+                for report in &reports {
+                    self.inputs.rollouts.merge_total(&host, report);
+                }
+            }
+        }
+    }
+
+    /// Tells the watched hosts what this one has observed of roll-outs if that has changed. Reports
+    /// are of all observations so far, so a lost one is made good by the next.
+    fn send_rollout_reports(&mut self, ping_socket: &host_pings::PingSocket) {
+        let reports = self.inputs.rollouts.own_reports();
+        if reports != self.sent_reports {
+            let hosts = self.host_monitor.watched_hosts();
+            ping_socket.send_reports(&self.inputs.host.name, reports.clone(), &hosts);
+            self.sent_reports = reports;
+        }
+    }
+
     /// Updates the hosts that do not answer this one; returns whether they have changed.
     fn update_silent_hosts(&mut self) -> bool {
         // A host that neither another host nor the store answers is itself cut off.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -402,10 +402,11 @@
         self.deadline_at_ms.saturating_sub(self.state.clock.now_ms())
     }
 
-    /// Returns a hash of the route name, by which roll-outs group comparable requests.
+    /// Returns a hash of the route and the model, by which roll-outs group comparable requests.
     #[must_use]
-    pub fn route_hash(&self) -> u64 {
-        ingress::stable_hash(self.route.name.as_str())
+    pub fn kind_hash(&self) -> u64 {
+        let model = self.model.as_ref().map_or("", name::ModelName::as_str);
+        ingress::stable_hash(self.route.name.as_str()) ^ ingress::stable_hash(model)
     }
 
     fn log_event(&self, what: &str, server: &server::BackendServer, why: &str) {
--- a/crates/gateway/src/host_pings.rs
+++ b/crates/gateway/src/host_pings.rs
@@ -1,22 +1,28 @@
-//! Pings between hosts, by which they notice that one of them is lost.
+//! Datagrams between hosts: pings, by which they notice that one of them is lost, and what they see
+//! of roll-outs.
 
 use std::io;
 use std::net;
+use std::sync::Arc;
 use std::time;
 
 use serde::Deserialize;
 use serde::Serialize;
 use toucanwall_routing::host;
+use toucanwall_routing::name;
 
 use crate::frame;
+use crate::rollouts;
 
-/// Largest datagram that is read, in bytes; pings and answers are far smaller.
-const MAX_DATAGRAM_BYTES: usize = 512;
+/// Largest datagram, in bytes: fits into one packet on usual links.
+const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Maximum number of roll-out reports in a datagram, which fit into it.
+const MAX_REPORTS: usize = 6;
 /// Delay after a datagram could not be received, in milliseconds.
 const RECEIVE_RETRY_DELAY_MS: u64 = 10;
 
 /// A datagram between two hosts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Datagram {
@@ -30,6 +36,30 @@
         /// Run that answers.
         run_id: u64,
     },
+    /// Tells what a host has observed of roll-outs so far.
+    Rollouts {
+        /// The host that observed it.
+        host: name::HostName,
+        /// One report for each roll-out.
+        reports: Vec<rollouts::Report>,
+    },
+}
+
+/// A datagram that the control thread acts on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Received {
+    /// A run of a host answered a ping.
+    Answer {
+        /// Run that answered.
+        run_id: u64,
+    },
+    /// A host has observed this much of roll-outs so far.
+    Rollouts {
+        /// The host.
+        host: name::HostName,
+        /// One report for each roll-out.
+        reports: Vec<rollouts::Report>,
+    },
 }
 
 /// Sends pings to other hosts and answers theirs.
@@ -51,40 +81,56 @@
 
     /// Pings a host. A ping that cannot be sent counts as lost, like one that is lost on the way.
     pub fn ping(&self, host: &host::HostEntry) {
-        self.send(Datagram::Ping { run_id: host.run_id }, host.peer_address);
+        self.send(&Datagram::Ping { run_id: host.run_id }, host.peer_address);
     }
 
-    /// Answers pings until an answer to one of this host's own arrives; returns the run that
-    /// answered.
-    pub async fn next_answer(&self) -> u64 {
+    /// Tells hosts what this one has observed of roll-outs so far.
+    pub fn send_reports(
+        &self,
+        own_name: &name::HostName,
+        mut reports: Vec<rollouts::Report>,
+        hosts: &[Arc<host::HostEntry>],
+    ) {
+        reports.truncate(MAX_REPORTS);
+        let datagram = Datagram::Rollouts { host: own_name.clone(), reports };
+        for host in hosts {
+            self.send(&datagram, host.peer_address);
+        }
+    }
+
+    /// Answers pings until another datagram arrives, and returns that.
+    pub async fn receive(&self) -> Received {
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         loop {
             let (length, from) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
                 Err(error) => {
-                    log::debug!(target: "toucanwall", why = error.to_string(); "cannot receive a ping");
+                    log::debug!(target: "toucanwall", why = error.to_string(); "cannot receive a datagram");
                     tokio::time::sleep(time::Duration::from_millis(RECEIVE_RETRY_DELAY_MS)).await;
                     continue;
                 }
             };
             match frame::decode(&buffer[..length]) {
-                Ok(Datagram::Answer { run_id }) => return run_id,
+                Ok(Datagram::Answer { run_id }) => return Received::Answer { run_id },
+                Ok(Datagram::Rollouts { host, reports }) => {
+                    return Received::Rollouts { host, reports };
+                }
                 Ok(Datagram::Ping { run_id }) if run_id == self.own_run_id => {
-                    self.send(Datagram::Answer { run_id }, from);
+                    self.send(&Datagram::Answer { run_id }, from);
                 }
                 Ok(Datagram::Ping { .. }) => {}
                 Err(error) => {
-                    log::debug!(target: "toucanwall", why = error.to_string(); "malformed ping ignored");
+                    log::debug!(target: "toucanwall", why = error.to_string(); "malformed datagram ignored");
                 }
             }
         }
     }
 
-    fn send(&self, datagram: Datagram, to: net::SocketAddr) {
-        let sent = frame::encode(&datagram)
-            .and_then(|bytes| self.socket.try_send_to(&bytes, to).map(drop));
+    fn send(&self, datagram: &Datagram, to: net::SocketAddr) {
+        let sent =
+            frame::encode(datagram).and_then(|bytes| self.socket.try_send_to(&bytes, to).map(drop));
         if let Err(error) = sent {
-            log::debug!(target: "toucanwall", to = to.to_string(), why = error.to_string(); "cannot send a ping");
+            log::debug!(target: "toucanwall", to = to.to_string(), why = error.to_string(); "cannot send a datagram");
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use toucanwall_platform::object;
 use toucanwall_policy::relay;
 use toucanwall_routing::host;
+use toucanwall_routing::name;
 
 use crate::frame;
 use crate::reachability;
@@ -164,7 +165,7 @@
         let timeout = time::Duration::from_millis(SUBSCRIBER_TIMEOUT_MS);
         match tokio::time::timeout(timeout, receive_subscribe(connection)).await {
             Ok(Ok((connection, subscribe))) if subscribe.relay_run_id == self.run_id => {
-                let result = self.serve_subscriber(connection, &requested_kinds(&subscribe)).await;
+                let result = self.serve_subscriber(connection, &subscribe).await;
                 log::info!(
                     target: "toucanwall", listener = subscribe.host, listeners = self.subscriber_count(),
                     why = result.err().map(|error| error.to_string()); "subscriber disconnected"
@@ -184,8 +185,10 @@
     async fn serve_subscriber(
         &self,
         mut connection: frame::Connection,
-        kinds: &collections::BTreeSet<object::Kind>,
+        subscribe: &frame::Subscribe,
     ) -> io::Result<()> {
+        let host = name::HostName::from(subscribe.host.as_str());
+        let kinds = &requested_kinds(subscribe);
         let mut tracker = self.tracker.subscribe();
         let Some((lists, mut messages, _guard)) = self.add_subscriber(kinds) else {
             // Closing the connection makes the subscriber try another host.
@@ -214,7 +217,7 @@
                 _ = tracker.changed() => return Ok(()),
                 reports = connection.next() => {
                     let Some(reports) = reports else { return Ok(()) };
-                    self.merge_reports(&reports?)?;
+                    self.merge_reports(&host, &reports?)?;
                     continue;
                 }
             };
@@ -223,10 +226,10 @@
     }
 
     /// Merges the roll-out reports of a subscriber.
-    fn merge_reports(&self, body: &[u8]) -> io::Result<()> {
+    fn merge_reports(&self, host: &name::HostName, body: &[u8]) -> io::Result<()> {
         let reports: Vec<rollouts::Report> = frame::decode(body)?;
         for report in &reports {
-            self.rollouts.merge(report);
+            self.rollouts.merge_from_subscriber(host, report);
         }
         Ok(())
     }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -25,6 +25,8 @@
     /// Largest fraction of a service's requests that a bad version may receive.
     exposure_fraction: f64,
     tracked: Mutex<collections::BTreeMap<name::ServiceName, TrackedRollout>>,
+    /// How fast the version in use answers, by service.
+    latencies: Mutex<collections::BTreeMap<name::ServiceName, canary::Latencies>>,
 }
 
 /// A roll-out together with its canary evaluation.
@@ -32,6 +34,20 @@
 struct TrackedRollout {
     rollout: Arc<rollout::Rollout>,
     canary: canary::Canary,
+    /// Evidence that other hosts reported, by host.
+    peers: collections::BTreeMap<name::HostName, PeerEvidence>,
+}
+
+/// What another host has observed of a target version. A host may report to its relay and in
+/// datagrams to hosts that watch it; the reports cover the same answers.
+#[derive(Debug, Default)]
+struct PeerEvidence {
+    /// Sum of the reports to this host as a relay.
+    as_relay: canary::Observations,
+    /// Latest report in a datagram.
+    in_datagrams: canary::Observations,
+    /// The part that has been counted.
+    counted: canary::Observations,
 }
 
 /// A roll-out state that is due to be written to the store.
@@ -53,8 +69,14 @@
     pub order_revision: u64,
     /// Number of responses.
     pub answers: u64,
-    /// Number of bad responses among them.
+    /// Number of responses among them that failed or began late.
     pub bad: u64,
+    /// Number of responses whose speed could be compared with the previous version.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub compared: u64,
+    /// Number of slow responses among those.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub slow: u64,
 }
 
 /// The current time by the monotonic and the wall clock.
@@ -70,7 +92,11 @@
     /// Creates an empty set; a bad version may receive `exposure_fraction` of a service's requests.
     #[must_use]
     pub fn new(exposure_fraction: f64) -> Self {
-        Self { exposure_fraction, tracked: Mutex::new(collections::BTreeMap::new()) }
+        Self {
+            exposure_fraction,
+            tracked: Mutex::new(collections::BTreeMap::new()),
+            latencies: Mutex::new(collections::BTreeMap::new()),
+        }
     }
 
     /// Replaces the roll-outs by those of a new view, which `hosts` hosts evaluate.
@@ -97,9 +123,11 @@
                 hosts,
             };
             let since_start_ms = since_start_ms(rollout, now.unix_ms);
-            let canary = canary::Canary::new(plan, since_start_ms, now.monotonic_ms);
-            tracked
-                .insert(service.clone(), TrackedRollout { rollout: Arc::clone(rollout), canary });
+            let latencies = lock(&self.latencies).get(service).cloned().unwrap_or_default();
+            let canary = canary::Canary::new(plan, latencies, since_start_ms, now.monotonic_ms);
+            let peers = collections::BTreeMap::new();
+            let rollout = Arc::clone(rollout);
+            tracked.insert(service.clone(), TrackedRollout { rollout, canary, peers });
         }
     }
 
@@ -133,20 +161,40 @@
         }
     }
 
-    /// Records a response from one side of a roll-out. `kind` groups requests whose times to the
-    /// first byte can be compared.
+    /// Records a response, from one side of a roll-out if the service has one. `kind` groups
+    /// requests whose times can be compared.
     pub fn record_response(
         &self,
         service: &name::ServiceName,
-        side: canary::Side,
+        side: Option<canary::Side>,
         kind: u64,
-        has_failed: bool,
-        first_byte_ms: Option<u64>,
+        answer: canary::Answer,
         now_ms: u64,
     ) {
-        if let Some(tracked) = self.lock().get_mut(service) {
-            tracked.canary.record_answer(side, kind, has_failed, first_byte_ms, now_ms);
+        let mut tracked = self.lock();
+        let tracked = tracked.get_mut(service);
+        let is_in_use = match (side, tracked.as_ref().map(|tracked| tracked.rollout.state)) {
+            (Some(canary::Side::Target), Some(state)) => state == rollout::State::Completed,
+            _ => true,
+        };
+        if is_in_use {
+            lock(&self.latencies).entry(service.clone()).or_default().record(kind, answer);
         }
+        if let (Some(tracked), Some(side)) = (tracked, side) {
+            tracked.canary.record_answer(side, kind, answer, now_ms);
+        }
+    }
+
+    /// All responses of target versions that this host has observed so far.
+    #[must_use]
+    pub fn own_reports(&self) -> Vec<Report> {
+        let tracked = self.lock();
+        let open = tracked.iter().filter(|(_, tracked)| !tracked.rollout.state.is_final());
+        let reports = open.map(|(service, tracked)| {
+            let observations = tracked.canary.own_observations();
+            Report::new(service.clone(), &tracked.rollout, observations)
+        });
+        reports.filter(|report| report.answers > 0).collect()
     }
 
     /// Takes the responses of target versions that were recorded since the last call.
@@ -154,28 +202,46 @@
     pub fn take_unreported(&self) -> Vec<Report> {
         let mut tracked = self.lock();
         let reports = tracked.iter_mut().map(|(service, tracked)| {
-            let evidence = tracked.canary.take_unreported();
-            Report {
-                service: service.clone(),
-                order_revision: tracked.rollout.order_revision,
-                answers: evidence.answers,
-                bad: evidence.bad,
-            }
+            let observations = tracked.canary.take_unreported();
+            Report::new(service.clone(), &tracked.rollout, observations)
         });
         reports.filter(|report| report.answers > 0).collect()
     }
 
-    /// Merges the report of another host; ignores an invalid one and one on another order.
-    pub fn merge(&self, report: &Report) {
-        let is_valid = report.bad <= report.answers && report.answers <= MAX_REPORTED_ANSWERS;
+    /// Merges a report that a subscriber sent since its last one; ignores an invalid one and one on
+    /// another order.
+    pub fn merge_from_subscriber(&self, host: &name::HostName, report: &Report) {
+        self.merge(host, report, |peer, observations| peer.as_relay.merge(observations));
+    }
+
+    /// Merges a report of all that another host has observed so far; ignores an invalid one and one
+    /// on another order.
+    pub fn merge_total(&self, host: &name::HostName, report: &Report) {
+        self.merge(host, report, |peer, observations| {
+            // Datagrams may overtake each other.
+            if observations.answers.answers > peer.in_datagrams.answers.answers {
+                peer.in_datagrams = observations;
+            }
+        });
+    }
+
+    fn merge<F>(&self, host: &name::HostName, report: &Report, update: F)
+    where
+        F: FnOnce(&mut PeerEvidence, canary::Observations),
+    {
+        let is_valid = report.bad <= report.answers
+            && report.slow <= report.compared
+            && report.compared <= report.answers
+            && report.answers <= MAX_REPORTED_ANSWERS;
         let mut tracked = self.lock();
         let matching = tracked
             .get_mut(&report.service)
             .filter(|tracked| tracked.rollout.order_revision == report.order_revision);
         match matching {
             Some(tracked) if is_valid => {
-                let evidence = sequential::Evidence { answers: report.answers, bad: report.bad };
-                tracked.canary.merge_report(evidence);
+                let peer = tracked.peers.entry(host.clone()).or_default();
+                update(peer, report.observations());
+                tracked.canary.merge_report(peer.take_uncounted());
             }
             _ => log::info!(
                 target: "toucanwall", service = report.service.as_str(),
@@ -206,8 +272,14 @@
             };
             let (baseline, target) = tracked.canary.evidence();
             let evidence = format!(
-                "bad responses: {} of {} from the previous version, {} of {} from the target version",
-                baseline.bad, baseline.answers, target.bad, target.answers
+                "bad responses: {} of {} from the previous version, {} of {} from the target version; \
+                 slow: {} of {}",
+                baseline.bad,
+                baseline.answers,
+                target.answers.bad,
+                target.answers.answers,
+                target.speeds.bad,
+                target.speeds.answers
             );
             let elapsed_ms = tracked.canary.elapsed_ms(now.monotonic_ms);
             let started_unix_ms =
@@ -219,10 +291,68 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, collections::BTreeMap<name::ServiceName, TrackedRollout>> {
-        self.tracked.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.tracked)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Report {
+    fn new(
+        service: name::ServiceName,
+        rollout: &rollout::Rollout,
+        observations: canary::Observations,
+    ) -> Self {
+        Self {
+            service,
+            order_revision: rollout.order_revision,
+            answers: observations.answers.answers,
+            bad: observations.answers.bad,
+            compared: observations.speeds.answers,
+            slow: observations.speeds.bad,
+        }
+    }
+
+    fn observations(&self) -> canary::Observations {
+        canary::Observations {
+            answers: sequential::Evidence { answers: self.answers, bad: self.bad },
+            speeds: sequential::Evidence { answers: self.compared, bad: self.slow },
+        }
     }
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes fields by reference")]
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+impl PeerEvidence {
+    /// Takes the observations that have not been counted yet.
+    fn take_uncounted(&mut self) -> canary::Observations {
+        let latest = if self.as_relay.answers.answers > self.in_datagrams.answers.answers {
+            self.as_relay
+        } else {
+            self.in_datagrams
+        };
+        let uncounted = canary::Observations {
+            answers: difference(latest.answers, self.counted.answers),
+            speeds: difference(latest.speeds, self.counted.speeds),
+        };
+        self.counted.merge(uncounted);
+        uncounted
+    }
+}
+
+/// The evidence that was added since `earlier`. The two ways by which a host reports may differ in
+/// what they have covered so far, so that there may be more bad answers than answers.
+fn difference(latest: sequential::Evidence, earlier: sequential::Evidence) -> sequential::Evidence {
+    let bad = latest.bad.saturating_sub(earlier.bad);
+    let answers = latest.answers.saturating_sub(earlier.answers).max(bad);
+    sequential::Evidence { answers, bad }
+}
+
 /// Time since a roll-out was started, in milliseconds; zero if no host has started it yet.
 fn since_start_ms(rollout: &rollout::Rollout, unix_ms: u64) -> u64 {
     let since_start_ms = rollout.started_unix_ms.map_or(0, |at_ms| unix_ms.saturating_sub(at_ms));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -243,7 +243,12 @@
             self.in_flight.record_first_byte();
             match splitter.push(&data) {
                 Ok(events) if events.is_empty() => {}
-                Ok(events) => return Ok(UpstreamItem::Events(events)),
+                Ok(events) => {
+                    if let Some(last_event_id) = splitter.last_id() {
+                        self.in_flight.record_events(last_event_id);
+                    }
+                    return Ok(UpstreamItem::Events(events));
+                }
                 Err(error) => {
                     self.in_flight.record_outcome(placement::Outcome::Failed);
                     return Err(attempt::AttemptError::Broken(error.to_string()));
--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -49,15 +49,22 @@
 /// bad to good: a good version reaches it by chance once in `e^6`, about four hundred, answers.
 /// With several hosts the threshold is higher, since each of them could be wrong.
 const REVERT_THRESHOLD: f64 = 6.0;
+/// Evidence at which a version is reverted rather than completed, on the same scale: after the
+/// completion the old servers are gone, and a doubt can no longer be cleared up.
+const DOUBT_THRESHOLD: f64 = 4.0;
 /// Minimum rate of bad answers in the comparison; lower ones cannot be told from zero.
 const MIN_RATE: f64 = 0.01;
 /// Maximum rate of bad answers in the comparison.
 const MAX_RATE: f64 = 0.95;
-/// An answer counts as slow only if it takes more than this many times the median of the old
-/// version.
-const SLOW_FACTOR: u64 = 4;
-/// An answer counts as slow only if it takes longer than this percentile of the old version.
-const SLOW_PERCENTILE: usize = 95;
+/// When a first byte is slow. It depends much on what servers have cached.
+const SLOW_FIRST_BYTE: SlowLimit = SlowLimit { median_percent: 400, percentile: 95 };
+/// When a plain answer is slow.
+const SLOW_ANSWER: SlowLimit = SlowLimit { median_percent: 200, percentile: 90 };
+/// When the events of a stream are slow. Their times hardly depend on what servers have cached.
+const SLOW_EVENTS: SlowLimit = SlowLimit { median_percent: 150, percentile: 90 };
+/// Rate of slow answers that is accepted: those of a version that is as fast as the old one exceed
+/// the percentile as often as the old version's own.
+const ACCEPTED_SLOW_RATE: f64 = 0.13;
 /// Latency samples of the old version that are needed to recognise slow answers.
 const MIN_LATENCY_SAMPLES: usize = 10;
 /// Maximum number of latency samples of the old version that are kept for each kind of request.
@@ -83,6 +90,47 @@
     pub has_session: bool,
 }
 
+/// An answer of a server, as evidence on its version.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// Whether the server failed.
+    pub has_failed: bool,
+    /// Time to the first byte in milliseconds, if there was one.
+    pub first_byte_ms: Option<u64>,
+    /// Usual time between the first events of a stream, in milliseconds.
+    pub event_interval_ms: Option<u64>,
+}
+
+/// What one or several hosts have observed of a version.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Observations {
+    /// Answers, and those of them that failed or began late.
+    pub answers: sequential::Evidence,
+    /// Answers whose speed could be compared with the old version, and those that were slow.
+    pub speeds: sequential::Evidence,
+}
+
+/// When a time is slow compared with those of the old version: if it exceeds both.
+#[derive(Debug, Clone, Copy)]
+struct SlowLimit {
+    /// Part of the median, in percent.
+    median_percent: u64,
+    /// Percentile of the times.
+    percentile: usize,
+}
+
+/// Evidence against the new version, as a cumulative sum (CUSUM): good answers lower it to zero at
+/// most, so that a version that turns bad late is found as fast as one that is bad from the start.
+#[derive(Debug, Clone, Copy, Default)]
+struct Cusum(f64);
+
+/// How fast an answer of the new version was, compared with the old one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Speed {
+    Normal,
+    Slow,
+}
+
 /// The two sides that a roll-out compares.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Side {
@@ -124,31 +172,46 @@
     elapsed_at_creation_ms: u64,
     created_ms: u64,
     baseline: sequential::Evidence,
-    target: sequential::Evidence,
-    /// Answers of the new version that have not been reported to another host yet.
-    unreported: sequential::Evidence,
-    /// Evidence against the new version, as a cumulative sum (CUSUM): good answers lower it to zero
-    /// at most, so that a version that turns bad late is found as fast as one that is bad from the
-    /// start.
-    cusum: f64,
-    /// Times to the first byte at the old version, by kind of request.
-    baseline_latencies_ms: collections::BTreeMap<u64, collections::VecDeque<u64>>,
+    target: Observations,
+    /// The part of `target` that this host has observed itself.
+    own_target: Observations,
+    /// The part of `own_target` that has not been reported to the relay yet.
+    unreported: Observations,
+    failures: Cusum,
+    slowness: Cusum,
+    latencies: Latencies,
     is_bad: bool,
 }
 
+/// How fast servers answer each kind of request.
+#[derive(Debug, Clone, Default)]
+pub struct Latencies {
+    /// Times to the first byte.
+    first_bytes_ms: collections::BTreeMap<u64, LatencySamples>,
+    /// Times between the events of streams.
+    event_intervals_ms: collections::BTreeMap<u64, LatencySamples>,
+}
+
+/// The latest times of one kind of request, in milliseconds.
+#[derive(Debug, Clone, Default)]
+struct LatencySamples(collections::VecDeque<u64>);
+
 impl Canary {
-    /// Creates the state for a roll-out that started `elapsed_at_creation_ms` ago.
+    /// Creates the state for a roll-out that started `elapsed_at_creation_ms` ago; `latencies` are
+    /// those of the old version so far.
     #[must_use]
-    pub fn new(plan: Plan, elapsed_at_creation_ms: u64, now_ms: u64) -> Self {
+    pub fn new(plan: Plan, latencies: Latencies, elapsed_at_creation_ms: u64, now_ms: u64) -> Self {
         Self {
             plan,
             elapsed_at_creation_ms,
             created_ms: now_ms,
             baseline: sequential::Evidence::default(),
-            target: sequential::Evidence::default(),
-            unreported: sequential::Evidence::default(),
-            cusum: 0.0,
-            baseline_latencies_ms: collections::BTreeMap::new(),
+            target: Observations::default(),
+            own_target: Observations::default(),
+            unreported: Observations::default(),
+            failures: Cusum::default(),
+            slowness: Cusum::default(),
+            latencies,
             is_bad: false,
         }
     }
@@ -172,52 +235,55 @@
         }
     }
 
-    /// Records an answer: whether the server failed, and the time to the first byte if there was
-    /// one. `kind` groups requests whose times can be compared.
-    pub fn record_answer(
-        &mut self,
-        side: Side,
-        kind: u64,
-        has_failed: bool,
-        first_byte_ms: Option<u64>,
-        now_ms: u64,
-    ) {
+    /// Records an answer. `kind` groups requests whose times can be compared.
+    pub fn record_answer(&mut self, side: Side, kind: u64, answer: Answer, now_ms: u64) {
         match side {
             Side::Baseline => {
-                self.baseline.add(has_failed);
-                let latencies = self.baseline_latencies_ms.entry(kind).or_default();
-                latencies.extend(first_byte_ms);
-                if latencies.len() > MAX_LATENCY_SAMPLES {
-                    latencies.pop_front();
-                }
+                self.baseline.add(answer.has_failed);
+                self.latencies.record(kind, answer);
             }
             Side::Target => {
-                // After the cutover engines read prompts that they have not cached, so that any
-                // version is slow.
-                let can_be_slow = self.elapsed_ms(now_ms) < self.cutover_ms();
-                let is_slow = can_be_slow && first_byte_ms.is_some_and(|ms| self.is_slow(kind, ms));
-                self.unreported.add(has_failed || is_slow);
-                self.target.add(has_failed || is_slow);
-                self.update_cusum(has_failed || is_slow);
+                // After the cutover engines read prompts that they have not cached, so that the
+                // first byte of any version is late.
+                let has_warm_servers = self.elapsed_ms(now_ms) < self.cutover_ms();
+                let first_byte_ms = answer.first_byte_ms.filter(|_| has_warm_servers);
+                let first_byte = self.latencies.compare_first_byte(kind, first_byte_ms);
+                let mut observed = Observations::default();
+                observed.answers.add(answer.has_failed || first_byte == Some(Speed::Slow));
+                let answer = Answer { first_byte_ms, ..answer };
+                if let Some(speed) = self.latencies.compare_speed(kind, answer) {
+                    observed.speeds.add(speed == Speed::Slow);
+                }
+                self.unreported.merge(observed);
+                self.own_target.merge(observed);
+                self.merge_report(observed);
             }
         }
     }
 
-    /// Takes the evidence on the new version that was recorded since the last call.
-    pub fn take_unreported(&mut self) -> sequential::Evidence {
+    /// All that this host has observed of the new version itself.
+    #[must_use]
+    pub fn own_observations(&self) -> Observations {
+        self.own_target
+    }
+
+    /// Takes what this host has observed of the new version since the last call.
+    pub fn take_unreported(&mut self) -> Observations {
         std::mem::take(&mut self.unreported)
     }
 
-    /// Adds the evidence on the new version that another host has reported.
-    pub fn merge_report(&mut self, report: sequential::Evidence) {
+    /// Adds what another host has observed of the new version.
+    pub fn merge_report(&mut self, report: Observations) {
         self.target.merge(report);
-        // Good answers first: a report does not tell the order of its answers.
-        for _ in report.bad..report.answers {
-            self.update_cusum(false);
-        }
-        for _ in 0..report.bad {
-            self.update_cusum(true);
-        }
+        let baseline_rate =
+            if self.baseline.answers < MIN_BASELINE_ANSWERS { 0.0 } else { rate(self.baseline) };
+        let accepted_rate =
+            (baseline_rate + ACCEPTED_EXCESS).clamp(MIN_RATE, MAX_RATE - REJECTED_EXCESS);
+        self.failures.add(report.answers, accepted_rate);
+        self.slowness.add(report.speeds, ACCEPTED_SLOW_RATE);
+        let threshold =
+            REVERT_THRESHOLD + number::saturating_f64(self.plan.hosts.max(1)).ln() / 2.0;
+        self.is_bad = self.is_bad || self.failures.0.max(self.slowness.0) >= threshold;
     }
 
     /// The next action at this host.
@@ -234,15 +300,20 @@
         let complete_ms = self.plan.duration_ms - lead_ms;
         match state {
             _ if self.is_bad => Action::Revert,
+            _ if elapsed_ms >= complete_ms && self.is_doubtful() => Action::Revert,
             _ if elapsed_ms >= complete_ms => Action::Complete,
             rollout::State::Ordered if self.elapsed_ms(now_ms) >= delay_ms => Action::MarkStarted,
             _ => Action::Wait,
         }
     }
 
-    /// The evidence on the old version and on the new one.
+    fn is_doubtful(&self) -> bool {
+        self.failures.0.max(self.slowness.0) >= DOUBT_THRESHOLD
+    }
+
+    /// The answers of the old version, and what is known of the new one.
     #[must_use]
-    pub fn evidence(&self) -> (sequential::Evidence, sequential::Evidence) {
+    pub fn evidence(&self) -> (sequential::Evidence, Observations) {
         (self.baseline, self.target)
     }
 
@@ -277,37 +348,79 @@
         let lead_ms = CUTOVER_BEFORE_END_MS.min(self.plan.duration_ms / CUTOVER_DIVISOR);
         self.plan.duration_ms - lead_ms
     }
+}
 
-    fn update_cusum(&mut self, is_bad: bool) {
-        let baseline_rate =
-            if self.baseline.answers < MIN_BASELINE_ANSWERS { 0.0 } else { rate(self.baseline) };
-        let good_rate =
-            (baseline_rate + ACCEPTED_EXCESS).clamp(MIN_RATE, MAX_RATE - REJECTED_EXCESS);
-        let bad_rate = good_rate + REJECTED_EXCESS;
-        let increment = if is_bad {
-            (bad_rate / good_rate).ln()
-        } else {
-            ((1.0 - bad_rate) / (1.0 - good_rate)).ln()
-        };
-        self.cusum = (self.cusum + increment).max(0.0);
-        let threshold =
-            REVERT_THRESHOLD + number::saturating_f64(self.plan.hosts.max(1)).ln() / 2.0;
-        self.is_bad = self.is_bad || self.cusum >= threshold;
+impl Observations {
+    /// Adds further observations.
+    pub fn merge(&mut self, other: Self) {
+        self.answers.merge(other.answers);
+        self.speeds.merge(other.speeds);
+    }
+}
+
+impl Cusum {
+    /// Adds evidence on whether the rate of bad answers is the accepted one or
+    /// [`REJECTED_EXCESS`] above it.
+    fn add(&mut self, evidence: sequential::Evidence, accepted_rate: f64) {
+        let rejected_rate = accepted_rate + REJECTED_EXCESS;
+        // Good answers first: a report does not tell the order of its answers.
+        for _ in evidence.bad..evidence.answers {
+            let increment = ((1.0 - rejected_rate) / (1.0 - accepted_rate)).ln();
+            self.0 = (self.0 + increment).max(0.0);
+        }
+        for _ in 0..evidence.bad {
+            self.0 += (rejected_rate / accepted_rate).ln();
+        }
     }
+}
 
-    fn is_slow(&self, kind: u64, first_byte_ms: u64) -> bool {
-        let Some(latencies) = self
-            .baseline_latencies_ms
-            .get(&kind)
-            .filter(|latencies| latencies.len() >= MIN_LATENCY_SAMPLES)
-        else {
-            return false;
-        };
-        let mut sorted: Vec<u64> = latencies.iter().copied().collect();
+impl Latencies {
+    /// Records the times of an answer of the old version.
+    pub fn record(&mut self, kind: u64, answer: Answer) {
+        if answer.has_failed {
+            return;
+        }
+        self.first_bytes_ms.entry(kind).or_default().record(answer.first_byte_ms);
+        if answer.event_interval_ms.is_some() {
+            self.event_intervals_ms.entry(kind).or_default().record(answer.event_interval_ms);
+        }
+    }
+
+    /// Compares the time to the first byte with those of the old version, if there are enough.
+    fn compare_first_byte(&self, kind: u64, time_ms: Option<u64>) -> Option<Speed> {
+        self.first_bytes_ms.get(&kind)?.compare(time_ms?, SLOW_FIRST_BYTE)
+    }
+
+    /// Compares the speed of a stream, or the time of a plain answer, with those of the old version,
+    /// if there are enough.
+    fn compare_speed(&self, kind: u64, answer: Answer) -> Option<Speed> {
+        match answer.event_interval_ms {
+            Some(time_ms) => self.event_intervals_ms.get(&kind)?.compare(time_ms, SLOW_EVENTS),
+            None if self.event_intervals_ms.contains_key(&kind) => None,
+            None => self.first_bytes_ms.get(&kind)?.compare(answer.first_byte_ms?, SLOW_ANSWER),
+        }
+    }
+}
+
+impl LatencySamples {
+    fn record(&mut self, time_ms: Option<u64>) {
+        self.0.extend(time_ms);
+        if self.0.len() > MAX_LATENCY_SAMPLES {
+            self.0.pop_front();
+        }
+    }
+
+    /// Compares a time; `None` if there are not enough samples.
+    fn compare(&self, time_ms: u64, limit: SlowLimit) -> Option<Speed> {
+        if self.0.len() < MIN_LATENCY_SAMPLES {
+            return None;
+        }
+        let mut sorted: Vec<u64> = self.0.iter().copied().collect();
         sorted.sort_unstable();
         let median_ms = sorted[sorted.len() / 2].max(1);
-        let percentile_ms = sorted[sorted.len() * SLOW_PERCENTILE / 100];
-        first_byte_ms > (median_ms * SLOW_FACTOR).max(percentile_ms)
+        let percentile_ms = sorted[sorted.len() * limit.percentile / 100];
+        let limit_ms = percentile_ms.max(median_ms * limit.median_percent / 100);
+        Some(if time_ms > limit_ms { Speed::Slow } else { Speed::Normal })
     }
 }
 
--- a/crates/policy/src/host_monitor.rs
+++ b/crates/policy/src/host_monitor.rs
@@ -136,6 +136,13 @@
         }
     }
 
+    /// The registered hosts that this one watches.
+    #[must_use]
+    pub fn watched_hosts(&self) -> Vec<Arc<host::HostEntry>> {
+        let registered = self.watched.values().filter(|it| it.rounds_unregistered.is_none());
+        registered.map(|watched| Arc::clone(&watched.host)).collect()
+    }
+
     /// Watched hosts that do not answer.
     #[must_use]
     pub fn silent_hosts(&self) -> collections::BTreeSet<name::HostName> {
--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -11,7 +11,11 @@
 
 fn canary(hosts: u64) -> canary::Canary {
     let plan = canary::Plan { duration_ms: DURATION_MS, exposure_fraction: 0.15, hosts };
-    canary::Canary::new(plan, 0, 1_000)
+    canary::Canary::new(plan, canary::Latencies::default(), 0, 1_000)
+}
+
+fn answer(has_failed: bool, first_byte_ms: Option<u64>) -> canary::Answer {
+    canary::Answer { has_failed, first_byte_ms, event_interval_ms: None }
 }
 
 fn request(key: u64, has_session: bool) -> canary::Request {
@@ -63,7 +67,7 @@
 #[case::minutes(600_000, false)]
 fn exposure_is_bounded_without_any_evidence(#[case] duration_ms: u64, #[case] has_session: bool) {
     let plan = canary::Plan { duration_ms, exposure_fraction: 0.15, hosts: 6 };
-    let canary = canary::Canary::new(plan, 0, 0);
+    let canary = canary::Canary::new(plan, canary::Latencies::default(), 0, 0);
     // Requests arrive evenly over the whole roll-out.
     let steps = 400;
     let times = (0..steps).map(|step| step * duration_ms / steps);
@@ -83,8 +87,7 @@
             canary.record_answer(
                 canary::Side::Baseline,
                 REQUEST_KIND,
-                rng.random_bool(0.01),
-                Some(100),
+                answer(rng.random_bool(0.01), Some(100)),
                 15_000,
             );
         }
@@ -92,8 +95,7 @@
             canary.record_answer(
                 canary::Side::Target,
                 REQUEST_KIND,
-                rng.random_bool(0.01),
-                Some(100),
+                answer(rng.random_bool(0.01), Some(100)),
                 15_000,
             );
         }
@@ -103,7 +105,12 @@
         let host = rng.random_range(0..canaries.len());
         let is_bad = rng.random_bool(bad_rate);
         bad_answers += u64::from(is_bad);
-        canaries[host].record_answer(canary::Side::Target, REQUEST_KIND, is_bad, Some(100), 15_000);
+        canaries[host].record_answer(
+            canary::Side::Target,
+            REQUEST_KIND,
+            answer(is_bad, Some(100)),
+            15_000,
+        );
         if canaries[host].next_action(rollout::State::InProgress, 15_000, 0)
             == canary::Action::Revert
         {
@@ -127,21 +134,25 @@
             canary.record_answer(
                 canary::Side::Baseline,
                 REQUEST_KIND,
-                rng.random_bool(0.01),
-                Some(100),
+                answer(rng.random_bool(0.01), Some(100)),
                 15_000,
             );
         }
     }
     let relays = usize::try_from(relays).unwrap_or(1);
     let mut bad_answers = 0;
-    for answer in 1..3_000 {
+    for number in 1..3_000 {
         let host = rng.random_range(0..canaries.len());
         let is_bad = rng.random_bool(bad_rate);
         bad_answers += u64::from(is_bad);
-        canaries[host].record_answer(canary::Side::Target, REQUEST_KIND, is_bad, Some(100), 15_000);
+        canaries[host].record_answer(
+            canary::Side::Target,
+            REQUEST_KIND,
+            answer(is_bad, Some(100)),
+            15_000,
+        );
         // Hosts report four times a second; about eight answers arrive between two reports.
-        if answer % 8 == 0 {
+        if number % 8 == 0 {
             for subscriber in relays..canaries.len() {
                 let report = canaries[subscriber].take_unreported();
                 canaries[subscriber % relays].merge_report(report);
@@ -184,14 +195,14 @@
 fn an_answer_is_reported_once() {
     let mut canary = canary(6);
     for is_bad in [true, false, true] {
-        canary.record_answer(canary::Side::Target, REQUEST_KIND, is_bad, None, 15_000);
+        canary.record_answer(canary::Side::Target, REQUEST_KIND, answer(is_bad, None), 15_000);
     }
-    canary.record_answer(canary::Side::Baseline, REQUEST_KIND, true, None, 15_000);
+    canary.record_answer(canary::Side::Baseline, REQUEST_KIND, answer(true, None), 15_000);
     let report = canary.take_unreported();
-    assert_eq!((report.answers, report.bad), (3, 2));
+    assert_eq!((report.answers.answers, report.answers.bad), (3, 2));
     canary.merge_report(report);
-    assert_eq!(canary.take_unreported().answers, 0);
-    assert_eq!(canary.evidence().1.answers, 6);
+    assert_eq!(canary.take_unreported().answers.answers, 0);
+    assert_eq!(canary.evidence().1.answers.answers, 6);
 }
 
 /// The platform's deadline for reverting a bad version runs from its 50th bad answer.
@@ -222,8 +233,7 @@
             canary.record_answer(
                 canary::Side::Baseline,
                 REQUEST_KIND,
-                rng.random_bool(0.02),
-                first_byte_ms,
+                answer(rng.random_bool(0.02), first_byte_ms),
                 5_000,
             );
         }
@@ -233,8 +243,7 @@
             canary.record_answer(
                 canary::Side::Target,
                 REQUEST_KIND,
-                rng.random_bool(0.02),
-                first_byte_ms,
+                answer(rng.random_bool(0.02), first_byte_ms),
                 23_000,
             );
         }
@@ -251,16 +260,52 @@
     let mut canary = canary(6);
     for _ in 0..100 {
         let first_byte_ms = Some(rng.random_range(100..400));
-        canary.record_answer(canary::Side::Baseline, REQUEST_KIND, false, first_byte_ms, 5_000);
+        canary.record_answer(
+            canary::Side::Baseline,
+            REQUEST_KIND,
+            answer(false, first_byte_ms),
+            5_000,
+        );
     }
     for _ in 0..25 {
         let factor = if rng.random_bool(0.5) { 8 } else { 1 };
         let first_byte_ms = Some(rng.random_range(100..400) * factor);
-        canary.record_answer(canary::Side::Target, REQUEST_KIND, false, first_byte_ms, 14_000);
+        canary.record_answer(
+            canary::Side::Target,
+            REQUEST_KIND,
+            answer(false, first_byte_ms),
+            14_000,
+        );
     }
     assert_eq!(canary.next_action(rollout::State::InProgress, 14_000, 0), canary::Action::Revert);
 }
 
+/// Streams whose events come more slowly give a slow version away even if its servers answer at
+/// once, at any time of the roll-out.
+#[rstest]
+#[case::before_the_cutover(15_000)]
+#[case::after_the_cutover(23_500)]
+fn version_whose_streams_are_slow_is_reverted(#[case] now_ms: u64) {
+    for (factor, is_reverted) in [(1, false), (3, true)] {
+        let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(3);
+        let mut canary = canary(6);
+        let mut record = |side, factor: u64, now_ms| {
+            let event_interval_ms = Some(rng.random_range(20..70) * factor);
+            let answer =
+                canary::Answer { event_interval_ms, first_byte_ms: Some(100), has_failed: false };
+            canary.record_answer(side, REQUEST_KIND, answer, now_ms);
+        };
+        for _ in 0..60 {
+            record(canary::Side::Baseline, 1, 5_000);
+        }
+        for _ in 0..60 {
+            record(canary::Side::Target, factor, now_ms);
+        }
+        let action = canary.next_action(rollout::State::InProgress, 15_000, 0);
+        assert_eq!(action == canary::Action::Revert, is_reverted, "{factor} times as slow");
+    }
+}
+
 #[rstest]
 fn roll_out_is_started_and_completed_in_time() {
     let canary = canary(6);
@@ -274,8 +319,8 @@
 #[rstest]
 fn host_that_learns_of_a_roll_out_late_agrees_with_the_others() {
     let plan = canary::Plan { duration_ms: DURATION_MS, exposure_fraction: 0.15, hosts: 6 };
-    let early = canary::Canary::new(plan, 0, 1_000);
-    let late = canary::Canary::new(plan, 15_000, 500);
+    let early = canary::Canary::new(plan, canary::Latencies::default(), 0, 1_000);
+    let late = canary::Canary::new(plan, canary::Latencies::default(), 15_000, 500);
     let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(4);
     for _ in 0..1_000 {
         let request = request(rng.random(), true);
