Move datagrams between hosts out of the control thread's file

Pings, roll-out reports and the hosts that a host watches are now in peers.rs, the socket in datagrams.rs, and the log lines about other hosts in view_log.rs.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -9,10 +9,8 @@
 use toucanwall_platform::object;
 use toucanwall_platform::operator;
 use toucanwall_platform::registration;
-use toucanwall_policy::host_monitor;
 use toucanwall_routing::host;
 use toucanwall_routing::local_state;
-use toucanwall_routing::name;
 use toucanwall_routing::rollout;
 use toucanwall_routing::settings;
 use toucanwall_routing::view;
@@ -20,13 +18,15 @@
 use crate::change_feed;
 use crate::clock;
 use crate::crashes;
-use crate::host_pings;
+use crate::datagrams;
 use crate::ingress;
 use crate::metrics;
+use crate::peers;
 use crate::relay;
 use crate::rollouts;
 use crate::store_event;
 use crate::store_writer;
+use crate::view_log;
 
 /// Interval at which expired servers and pending roll-out steps are checked, in milliseconds.
 const TICK_INTERVAL_MS: u64 = 100;
@@ -78,27 +78,28 @@
 
 /// Starts the control thread.
 ///
-/// Other hosts connect to `peer_listener` to receive store events, and ping `ping_socket`.
+/// Other hosts connect to `peer_listener` to receive store events, and send datagrams to
+/// `datagram_socket`.
 ///
 /// # Errors
 /// The thread cannot be started.
 pub fn start(
     inputs: Inputs,
     peer_listener: net::TcpListener,
-    ping_socket: net::UdpSocket,
+    datagram_socket: net::UdpSocket,
 ) -> std::io::Result<Commands> {
     let (sender, receiver) = tokio::sync::mpsc::unbounded_channel();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let (peer_listener, ping_socket) = {
+    let (peer_listener, datagram_socket) = {
         let _guard = runtime.enter();
-        let ping_socket = host_pings::PingSocket::new(ping_socket, inputs.host.run_id)?;
-        (tokio::net::TcpListener::from_std(peer_listener)?, ping_socket)
+        let datagram_socket = datagrams::DatagramSocket::new(datagram_socket, inputs.host.run_id)?;
+        (tokio::net::TcpListener::from_std(peer_listener)?, datagram_socket)
     };
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         runtime.block_on(async {
-            let control = Control::new(inputs);
+            let control = Control::new(inputs, datagram_socket);
             tokio::spawn(Arc::clone(&control.relay).accept(peer_listener));
-            control.run(receiver, ping_socket).await;
+            control.run(receiver).await;
         });
     })?;
     Ok(sender)
@@ -112,10 +113,8 @@
     writes: tokio::sync::mpsc::UnboundedSender<store_writer::Write>,
     /// Forwards store events to other hosts.
     relay: Arc<relay::Relay>,
-    /// Watches other hosts for losses.
-    host_monitor: host_monitor::HostMonitor,
-    /// What this host last told others of roll-outs.
-    sent_reports: Vec<rollouts::Report>,
+    /// The other hosts that this one watches.
+    peers: peers::Peers,
     /// Reports of servers that ended.
     crash_reports: crashes::ReportLog,
     /// When expired crash reports are looked for next, in milliseconds.
@@ -133,7 +132,7 @@
     /// Creates the control thread's state and starts the store writer.
     ///
     /// Must be called within the control thread's runtime, because it spawns a task.
-    fn new(inputs: Inputs) -> Self {
+    fn new(inputs: Inputs, datagram_socket: datagrams::DatagramSocket) -> Self {
         let (writes, receiver) = tokio::sync::mpsc::unbounded_channel();
         let store_writer = store_writer::StoreWriter::new(
             inputs.settings.store_address,
@@ -142,15 +141,18 @@
         );
         tokio::spawn(store_writer.run(receiver));
         let relay = Arc::new(relay::Relay::new(&inputs.host, Arc::clone(&inputs.rollouts)));
-        let contact_ms = inputs.settings.bounds.contact_ms;
-        let host_monitor = host_monitor::HostMonitor::new(inputs.host.name.clone(), contact_ms);
+        let peers = peers::Peers::new(
+            inputs.host.name.clone(),
+            inputs.settings.bounds.contact_ms,
+            datagram_socket,
+            Arc::clone(&inputs.rollouts),
+        );
         Self {
             inputs,
             local_state: local_state::LocalState::new(),
             writes,
             relay,
-            host_monitor,
-            sent_reports: Vec::new(),
+            peers,
             crash_reports: crashes::ReportLog::default(),
             next_expiry_ms: 0,
             registered_ms: None,
@@ -159,15 +161,11 @@
         }
     }
 
-    async fn run(
-        mut self,
-        mut commands: tokio::sync::mpsc::UnboundedReceiver<Command>,
-        ping_socket: host_pings::PingSocket,
-    ) {
+    async fn run(mut self, mut commands: tokio::sync::mpsc::UnboundedReceiver<Command>) {
         let (events, mut event_receiver) = tokio::sync::mpsc::unbounded_channel();
         self.start_feed(&events);
         self.register(self.inputs.clock.now_ms());
-        let ping_interval = time::Duration::from_millis(self.host_monitor.round_interval_ms());
+        let ping_interval = time::Duration::from_millis(self.peers.round_interval_ms());
         let mut ping_rounds = tokio::time::interval(ping_interval);
         ping_rounds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut ticks = tokio::time::interval(time::Duration::from_millis(TICK_INTERVAL_MS));
@@ -183,12 +181,14 @@
                     }
                     self.publish();
                 }
-                received = ping_socket.receive() => self.handle_datagram(received),
-                _ = ping_rounds.tick() => self.ping_hosts(&ping_socket),
-                _ = ticks.tick() => {
-                    self.tick();
-                    self.send_rollout_reports(&ping_socket);
+                () = self.peers.step() => {}
+                _ = ping_rounds.tick() => {
+                    self.peers.start_round(self.inputs.clock.now_ms());
+                    if self.update_silent_hosts() {
+                        self.publish();
+                    }
                 }
+                _ = ticks.tick() => self.tick(),
                 command = commands.recv() => match command {
                     Some(command) => self.handle_command(command),
                     None => return,
@@ -254,52 +254,14 @@
         if kind == object::Kind::Hosts
             && let Some(hosts) = self.local_state.hosts()
         {
-            self.host_monitor.set_hosts(hosts);
+            self.peers.set_hosts(hosts);
             self.update_silent_hosts();
         }
     }
 
-    /// Starts a round of pings to other hosts and acts on the result of the previous one.
-    fn ping_hosts(&mut self, ping_socket: &host_pings::PingSocket) {
-        for host in self.host_monitor.start_round(self.inputs.clock.now_ms()) {
-            ping_socket.ping(&host);
-        }
-        if self.update_silent_hosts() {
-            self.publish();
-        }
-    }
-
-    fn handle_datagram(&mut self, received: host_pings::Received) {
-        match received {
-            host_pings::Received::Answer { run_id } => self.host_monitor.record_answer(run_id),
-            host_pings::Received::Rollouts { host, reports } => {
-                for report in &reports {
-                    self.inputs.rollouts.merge_total(&host, report);
-                }
-            }
-        }
-    }
-
-    /// Tells the watched hosts what this one has observed of roll-outs if that has changed. Reports
-    /// are of all observations so far, so a lost one is made good by the next.
-    fn send_rollout_reports(&mut self, ping_socket: &host_pings::PingSocket) {
-        let reports = self.inputs.rollouts.own_reports();
-        if reports != self.sent_reports {
-            let hosts = self.host_monitor.watched_hosts();
-            ping_socket.send_reports(&self.inputs.host.name, reports.clone(), &hosts);
-            self.sent_reports = reports;
-        }
-    }
-
     /// Updates the hosts that do not answer this one; returns whether they have changed.
     fn update_silent_hosts(&mut self) -> bool {
-        // A host that neither another host nor the store answers is itself cut off.
-        let is_cut_off = self.host_monitor.is_isolated() && self.local_state.is_store_lost();
-        let silent = if is_cut_off {
-            collections::BTreeSet::new()
-        } else {
-            self.host_monitor.silent_hosts()
-        };
+        let silent = self.peers.silent_hosts(self.local_state.is_store_lost());
         self.local_state.set_silent_hosts(silent)
     }
 
@@ -308,7 +270,7 @@
         if self.local_state.is_store_lost() {
             return;
         }
-        for host in self.host_monitor.take_removals(now_ms) {
+        for host in self.peers.take_removals(now_ms) {
             self.request_write(store_writer::Write::RemoveLostHost(host));
         }
     }
@@ -514,8 +476,7 @@
     fn publish(&self) {
         let view = self.local_state.view();
         let previous = Arc::clone(&self.inputs.views.borrow());
-        log_host_changes(&previous.hosts, &view.hosts);
-        log_silence_changes(&previous.silent_hosts, &view.silent_hosts);
+        view_log::log_changes(&previous, &view);
         self.inputs.metrics.set_hosts_listed(view.callable_hosts().count());
         let hosts = view.serving_host_count();
         self.inputs.rollouts.update(&view.rollouts, hosts, self.inputs.clock.now());
@@ -534,6 +495,7 @@
         self.check_registration(now_ms);
         self.remove_lost_hosts(now_ms);
         self.write_crash_reports(now_ms);
+        self.peers.send_rollout_reports();
         let expired = self.local_state.tick(now_ms);
         if !expired.is_empty() {
             log::info!(target: "toucanwall", servers:? = expired; "servers did not re-register after an outage");
@@ -561,38 +523,6 @@
     }
 }
 
-/// Logs the hosts whose entries appeared, changed or vanished.
-fn log_host_changes(
-    before: &collections::BTreeMap<name::HostName, Arc<host::HostEntry>>,
-    after: &collections::BTreeMap<name::HostName, Arc<host::HostEntry>>,
-) {
-    for (name, host) in after.iter().filter(|(name, host)| before.get(*name) != Some(*host)) {
-        log::info!(
-            target: "toucanwall", entry = name.as_str(), run = format!("{:016x}", host.run_id),
-            phase:? = host.phase; "host entry"
-        );
-    }
-    for (name, host) in before.iter().filter(|(name, _)| !after.contains_key(*name)) {
-        log::info!(
-            target: "toucanwall", entry = name.as_str(), run = format!("{:016x}", host.run_id);
-            "host entry vanished"
-        );
-    }
-}
-
-/// Logs the hosts that stopped answering this one, and those that answer again.
-fn log_silence_changes(
-    before: &collections::BTreeSet<name::HostName>,
-    after: &collections::BTreeSet<name::HostName>,
-) {
-    for name in after.difference(before) {
-        log::warn!(target: "toucanwall", entry = name.as_str(); "host does not answer");
-    }
-    for name in before.difference(after) {
-        log::info!(target: "toucanwall", entry = name.as_str(); "host is no longer silent");
-    }
-}
-
 fn log_malformed<E>(error: &E)
 where
     E: std::error::Error,
--- a/crates/gateway/src/host_pings.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -62,14 +62,14 @@
     },
 }
 
-/// Sends pings to other hosts and answers theirs.
+/// Sends datagrams to other hosts and answers their pings.
 #[derive(Debug)]
-pub struct PingSocket {
+pub struct DatagramSocket {
     socket: tokio::net::UdpSocket,
     own_run_id: u64,
 }
 
-impl PingSocket {
+impl DatagramSocket {
     /// Creates a socket for a run of this host. Must be called within a runtime.
     ///
     /// # Errors
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -39,7 +39,8 @@
 }
 
 /// What another host has observed of a target version. A host may report to its relay and in
-/// datagrams to hosts that watch it; the reports cover the same answers.
+/// datagrams to hosts that it watches; the reports cover the same answers. A host that has restarted
+/// counts again only beyond what its former run reported.
 #[derive(Debug, Default)]
 struct PeerEvidence {
     /// Sum of the reports to this host as a relay.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -116,8 +116,8 @@
     let peer_listener = net::TcpListener::bind(address)
         .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
         .map_err(|error| RunError::Listen { purpose: "other hosts", address, error })?;
-    let ping_socket = net::UdpSocket::bind(address).map_err(|error| RunError::Listen {
-        purpose: "pings of other hosts",
+    let datagram_socket = net::UdpSocket::bind(address).map_err(|error| RunError::Listen {
+        purpose: "datagrams of other hosts",
         address,
         error,
     })?;
@@ -130,7 +130,7 @@
         crashes: Arc::clone(&crashes),
         metrics: Arc::clone(&metrics),
     };
-    let commands = control::start(inputs, peer_listener, ping_socket)
+    let commands = control::start(inputs, peer_listener, datagram_socket)
         .map_err(|error| RunError::Start(error.to_string()))?;
     let state = Arc::new(state::GatewayState::new(
         Arc::clone(&settings),
