Check in the soak that all hosts are named again

Hosts are now taken for lost while they are paused or cut off, so the soak checks after the faults that every host names every other one within the time of recovery.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -367,6 +367,35 @@
             tokio::time::sleep(time::Duration::from_millis(100)).await;
         }
     }
+    check_addresses(deployment, &fleet, until).await;
+}
+
+/// Checks that all hosts are named to callers again, also those that were taken for lost during the
+/// faults.
+async fn check_addresses(
+    deployment: &Deployment,
+    fleet: &GatewayFleet,
+    until: tokio::time::Instant,
+) {
+    for host in 0..HOST_COUNT {
+        loop {
+            let addresses = fleet.resolve(host).await.map(|response| response.body);
+            let addresses = addresses.unwrap_or_default();
+            let is_missing =
+                |other: &usize| !addresses.contains(&fleet.caller_address(*other).to_string());
+            let missing: Vec<_> = (0..HOST_COUNT).filter(is_missing).collect();
+            if missing.is_empty() {
+                break;
+            }
+            if tokio::time::Instant::now() > until {
+                deployment.record_violation(format!(
+                    "host {host} does not name the hosts {missing:?} after the faults"
+                ));
+                break;
+            }
+            tokio::time::sleep(time::Duration::from_millis(100)).await;
+        }
+    }
 }
 
 /// Seeds that run with the other tests.
