Try a new version on more requests where a service gets few

A slow answer counted the same whether it was a little or many times slower; a host judged by its own failures of the old version, in which requests that fail everywhere counted once for each server; and on deployments with a small exposure the cutover alone used more than all of it.

Answers that take four times the median count apart, and failures by route. Failures are compared with those of the old version from before the roll-out too, and a request counts as failed once.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -89,7 +89,10 @@
     /// Server to which the request is sent.
     pub server: Arc<server::BackendServer>,
     side: Option<canary::Side>,
-    kind_hash: u64,
+    kind: canary::Kind,
+    /// Whether another server has failed the request before, so that a further failure is no
+    /// evidence on this one: some requests fail everywhere.
+    is_suspect: bool,
     content_hash: u64,
     forecast_key: state::ForecastKey,
     /// Work of processing the prompt, in prompt tokens of the smallest model.
@@ -209,7 +212,8 @@
             state,
             server,
             side,
-            kind_hash: exchange.kind_hash(),
+            kind: exchange.kind(),
+            is_suspect: exchange.has_failed_attempt,
             content_hash: exchange.content_hash,
             forecast_key: (exchange.service.clone(), exchange.model.clone()),
             prompt_units: request.prompt_units(),
@@ -329,7 +333,7 @@
     pub fn record_outcome(&mut self, outcome: placement::Outcome) {
         if self.outcome.is_none() {
             self.outcome = Some(outcome);
-            if outcome == placement::Outcome::Failed {
+            if outcome == placement::Outcome::Failed && !self.is_suspect {
                 let answer = canary::Answer { has_failed: true, ..canary::Answer::default() };
                 self.record_rollout_sample(answer);
             }
@@ -339,7 +343,7 @@
     fn record_rollout_sample(&self, answer: canary::Answer) {
         let now_ms = self.state.clock.now_ms();
         let rollouts = &self.state.rollouts;
-        rollouts.record_response(&self.server.service, self.side, self.kind_hash, answer, now_ms);
+        rollouts.record_response(&self.server.service, self.side, self.kind, answer, now_ms);
     }
 
     fn record_load(&self, head: &response::Head) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -67,6 +67,8 @@
     pub model: Option<name::ModelName>,
     /// Number of attempts so far.
     pub attempts: u32,
+    /// Whether a server has failed an attempt.
+    pub has_failed_attempt: bool,
     /// Servers to which the request is not sent again.
     pub excluded: collections::BTreeSet<name::ServerId>,
 }
@@ -137,6 +139,7 @@
                     sent.unknown()
                 }
                 AttemptOutcome::Failed(error, proof) => {
+                    self.has_failed_attempt = true;
                     self.log_event("attempt failed", &server, &error.to_string());
                     self.state.metrics.record_attempt_error(&error);
                     match proof {
@@ -404,9 +407,10 @@
 
     /// Returns a hash of the route and the model, by which roll-outs group comparable requests.
     #[must_use]
-    pub fn kind_hash(&self) -> u64 {
+    pub fn kind(&self) -> canary::Kind {
         let model = self.model.as_ref().map_or("", name::ModelName::as_str);
-        ingress::stable_hash(self.route.name.as_str()) ^ ingress::stable_hash(model)
+        let route = ingress::stable_hash(self.route.name.as_str());
+        canary::Kind { route, timing: route ^ ingress::stable_hash(model) }
     }
 
     fn log_event(&self, what: &str, server: &server::BackendServer, why: &str) {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -228,6 +228,7 @@
         last_event_id: head.last_event_id,
         model: escalation::first_model(&route.models).filter(|_| router_selects_model).cloned(),
         attempts: 0,
+        has_failed_attempt: false,
         excluded: std::collections::BTreeSet::new(),
         head,
         parts,
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -14,19 +14,21 @@
 use toucanwall_routing::name;
 use toucanwall_routing::rollout;
 use toucanwall_routing::server;
+use toucanwall_routing::settings;
 
 /// Largest valid number of responses in one report. Even a host that reports only once in a whole
 /// roll-out stays below it.
 const MAX_REPORTED_ANSWERS: u64 = 100_000;
+/// Largest number of routes in one report: bounds the size of a datagram.
+const MAX_REPORTED_ROUTES: usize = 8;
 
 /// The roll-outs known to this host, by service.
 #[derive(Debug)]
 pub struct Rollouts {
-    /// Largest fraction of a service's requests that a bad version may receive.
-    exposure_fraction: f64,
+    bounds: settings::Bounds,
     tracked: Mutex<collections::BTreeMap<name::ServiceName, TrackedRollout>>,
-    /// How fast the version in use answers, by service.
-    latencies: Mutex<collections::BTreeMap<name::ServiceName, canary::Latencies>>,
+    /// How the version in use has answered, by service.
+    histories: Mutex<collections::BTreeMap<name::ServiceName, canary::History>>,
 }
 
 /// A roll-out together with its canary evaluation.
@@ -78,6 +80,12 @@
     /// Number of slow responses among those.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub slow: u64,
+    /// Number of responses among the slow ones that were several times as slow.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub stalled: u64,
+    /// Numbers of responses, and of those that failed or began late, by hash of the route.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub routes: Vec<(u64, u64, u64)>,
 }
 
 /// The current time by the monotonic and the wall clock.
@@ -90,13 +98,13 @@
 }
 
 impl Rollouts {
-    /// Creates an empty set; a bad version may receive `exposure_fraction` of a service's requests.
+    /// Creates an empty set; `bounds` limit what a bad version may receive.
     #[must_use]
-    pub fn new(exposure_fraction: f64) -> Self {
+    pub fn new(bounds: settings::Bounds) -> Self {
         Self {
-            exposure_fraction,
+            bounds,
             tracked: Mutex::new(collections::BTreeMap::new()),
-            latencies: Mutex::new(collections::BTreeMap::new()),
+            histories: Mutex::new(collections::BTreeMap::new()),
         }
     }
 
@@ -120,12 +128,14 @@
             }
             let plan = canary::Plan {
                 duration_ms: rollout.duration_ms,
-                exposure_fraction: self.exposure_fraction,
+                exposure_fraction: self.bounds.exposure_fraction,
+                exposure_allowance: self.bounds.exposure_allowance,
                 hosts,
+                rounding: rand::random(),
             };
             let since_start_ms = since_start_ms(rollout, now.unix_ms);
-            let latencies = lock(&self.latencies).get(service).cloned().unwrap_or_default();
-            let canary = canary::Canary::new(plan, latencies, since_start_ms, now.monotonic_ms);
+            let history = lock(&self.histories).get(service).cloned().unwrap_or_default();
+            let canary = canary::Canary::new(plan, history, since_start_ms, now.monotonic_ms);
             let peers = collections::BTreeMap::new();
             let rollout = Arc::clone(rollout);
             tracked.insert(service.clone(), TrackedRollout { rollout, canary, peers });
@@ -142,8 +152,8 @@
         request: canary::Request,
         now_ms: u64,
     ) -> (Vec<Arc<server::BackendServer>>, Option<canary::Side>) {
-        let tracked = self.lock();
-        let Some(tracked) = tracked.get(service) else {
+        let mut tracked = self.lock();
+        let Some(tracked) = tracked.get_mut(service) else {
             return (servers.to_vec(), None);
         };
         let (target, baseline): (Vec<_>, Vec<_>) =
@@ -162,13 +172,12 @@
         }
     }
 
-    /// Records a response, from one side of a roll-out if the service has one. `kind` groups
-    /// requests whose times can be compared.
+    /// Records a response, from one side of a roll-out if the service has one.
     pub fn record_response(
         &self,
         service: &name::ServiceName,
         side: Option<canary::Side>,
-        kind: u64,
+        kind: canary::Kind,
         answer: canary::Answer,
         now_ms: u64,
     ) {
@@ -179,7 +188,7 @@
             _ => true,
         };
         if is_in_use {
-            lock(&self.latencies).entry(service.clone()).or_default().record(kind, answer);
+            lock(&self.histories).entry(service.clone()).or_default().record(kind.timing, answer);
         }
         if let (Some(tracked), Some(side)) = (tracked, side) {
             tracked.canary.record_answer(side, kind, answer, now_ms);
@@ -204,7 +213,7 @@
         let mut tracked = self.lock();
         let reports = tracked.iter_mut().map(|(service, tracked)| {
             let observations = tracked.canary.take_unreported();
-            Report::new(service.clone(), &tracked.rollout, observations)
+            Report::new(service.clone(), &tracked.rollout, &observations)
         });
         reports.filter(|report| report.answers > 0).collect()
     }
@@ -212,7 +221,7 @@
     /// Merges a report that a subscriber sent since its last one; ignores an invalid one and one on
     /// another order.
     pub fn merge_from_subscriber(&self, host: &name::HostName, report: &Report) {
-        self.merge(host, report, |peer, observations| peer.as_relay.merge(observations));
+        self.merge(host, report, |peer, observations| peer.as_relay.merge(&observations));
     }
 
     /// Merges a report of all that another host has observed so far; ignores an invalid one and one
@@ -232,6 +241,10 @@
     {
         let is_valid = report.bad <= report.answers
             && report.slow <= report.compared
+            && report.stalled <= report.slow
+            && report.routes.len() <= MAX_REPORTED_ROUTES
+            && report.routes.iter().all(|(_, answers, bad)| bad <= answers)
+            && report.routes.iter().all(|(_, answers, _)| *answers <= report.answers)
             && report.compared <= report.answers
             && report.answers <= MAX_REPORTED_ANSWERS;
         let mut tracked = self.lock();
@@ -242,7 +255,7 @@
             Some(tracked) if is_valid => {
                 let peer = tracked.peers.entry(host.clone()).or_default();
                 update(peer, report.observations());
-                tracked.canary.merge_report(peer.take_uncounted());
+                tracked.canary.merge_report(&peer.take_uncounted());
             }
             _ => log::info!(
                 target: "toucanwall", service = report.service.as_str(),
@@ -274,13 +287,14 @@
             let (baseline, target) = tracked.canary.evidence();
             let evidence = format!(
                 "bad responses: {} of {} from the previous version, {} of {} from the target version; \
-                 slow: {} of {}",
+                 slow: {} of {}, of these stalled: {}",
                 baseline.bad,
                 baseline.answers,
                 target.answers.bad,
                 target.answers.answers,
                 target.speeds.bad,
-                target.speeds.answers
+                target.speeds.answers,
+                target.stalled
             );
             let elapsed_ms = tracked.canary.elapsed_ms(now.monotonic_ms);
             let started_unix_ms =
@@ -304,8 +318,9 @@
     fn new(
         service: name::ServiceName,
         rollout: &rollout::Rollout,
-        observations: canary::Observations,
+        observations: &canary::Observations,
     ) -> Self {
+        let routes = observations.routes.iter().take(MAX_REPORTED_ROUTES);
         Self {
             service,
             order_revision: rollout.order_revision,
@@ -313,6 +328,8 @@
             bad: observations.answers.bad,
             compared: observations.speeds.answers,
             slow: observations.speeds.bad,
+            stalled: observations.stalled,
+            routes: routes.map(|(route, count)| (*route, count.answers, count.bad)).collect(),
         }
     }
 
@@ -320,6 +337,14 @@
         canary::Observations {
             answers: sequential::Evidence { answers: self.answers, bad: self.bad },
             speeds: sequential::Evidence { answers: self.compared, bad: self.slow },
+            stalled: self.stalled,
+            routes: self
+                .routes
+                .iter()
+                .map(|(route, answers, bad)| {
+                    (*route, sequential::Evidence { answers: *answers, bad: *bad })
+                })
+                .collect(),
         }
     }
 }
@@ -333,15 +358,22 @@
     /// Takes the observations that have not been counted yet.
     fn take_uncounted(&mut self) -> canary::Observations {
         let latest = if self.as_relay.answers.answers > self.in_datagrams.answers.answers {
-            self.as_relay
+            &self.as_relay
         } else {
-            self.in_datagrams
+            &self.in_datagrams
         };
+        let speeds = difference(latest.speeds, self.counted.speeds);
+        let routes = latest.routes.iter().map(|(route, answers)| {
+            let counted = self.counted.routes.get(route).copied().unwrap_or_default();
+            (*route, difference(*answers, counted))
+        });
         let uncounted = canary::Observations {
             answers: difference(latest.answers, self.counted.answers),
-            speeds: difference(latest.speeds, self.counted.speeds),
+            speeds,
+            stalled: latest.stalled.saturating_sub(self.counted.stalled).min(speeds.answers),
+            routes: routes.collect(),
         };
-        self.counted.merge(uncounted);
+        self.counted.merge(&uncounted);
         uncounted
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -109,7 +109,7 @@
         "host starts"
     );
     let metrics = Arc::new(metrics::Metrics::new());
-    let rollouts = Arc::new(rollouts::Rollouts::new(settings.bounds.exposure_fraction));
+    let rollouts = Arc::new(rollouts::Rollouts::new(settings.bounds));
     let crashes = Arc::new(crashes::Crashes::new());
     let (views, view) = tokio::sync::watch::channel(Arc::new(view::View::default()));
     let address = settings.peer_address;
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -50,6 +50,8 @@
     pub retry_allowance: u64,
     /// Fraction of a service's requests that may reach a bad version during a roll-out.
     pub exposure_fraction: f64,
+    /// Number of a service's requests that may reach a bad version in addition to that fraction.
+    pub exposure_allowance: u64,
     /// Maximum time for which callers cache a discovery response, in milliseconds.
     pub discovery_ttl_max_ms: u64,
 }
