Keep relays while the store drops its history and after it returns

Cause: while the store drops its history it answers no call for changes. The relays' probe was such a call, so hosts thought that their relays had lost the store, and left them all at once; each then listed and watched everything for three seconds. A connection that was reset counted as a loss too. After an outage, a host whose own probe was answered first left its relay at once, since the time that a relay has to notice was counted from the loss.

Change: a probe waits 300 ms for changes, then reads one object on a new connection. The relay's time runs from this host's first answered probe.

Measured: both new tests fail without their part of the change.

--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -8,6 +8,7 @@
 use rstest::rstest;
 use toucanwall_platform_standin::backend;
 use toucanwall_platform_standin::proxy;
+use toucanwall_platform_standin::store;
 
 const HOST_COUNT: usize = 5;
 /// Number of hosts of a data centre that watch the store and act as relays.
@@ -110,6 +111,25 @@
     deployment.revoke(5, &subscribers).await;
 }
 
+/// While the store drops its history it answers no call for changes. Hosts that then left their
+/// relays would all list every object at once.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn relays_are_kept_while_the_store_answers_no_calls_for_changes() {
+    let deployment = Deployment::start().await;
+    let fleet = &deployment.fleet;
+    let subscribers: Vec<_> =
+        (0..HOST_COUNT).filter(|index| deployment.uses_relay(*index)).collect();
+    fleet.store.set_mode(store::Mode::UnansweredChanges);
+    tokio::time::sleep(time::Duration::from_millis(3_000)).await;
+    fleet.store.set_mode(store::Mode::Up);
+    for index in &subscribers {
+        let log = fleet.log(*index);
+        assert!(!log.contains("relay left"), "host {index}\n{log}");
+    }
+    deployment.revoke(3, &(0..HOST_COUNT).collect::<Vec<_>>()).await;
+}
+
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn host_without_access_to_the_store_receives_changes_from_relays() {
--- a/crates/gateway/src/store_probe.rs
+++ b/crates/gateway/src/store_probe.rs
@@ -18,6 +18,9 @@
 /// in milliseconds. Subscribers leave a relay that the store has not answered for about three times
 /// this interval.
 const SHORT_PROBE_INTERVAL_MS: u64 = 400;
+/// Time for a probe that also looks for changes, in milliseconds. While the store drops its history,
+/// it leaves such calls unanswered and still answers others.
+const CHANGES_TIMEOUT_MS: u64 = 300;
 /// Time for which a probe may see changes that the pending call has not returned, in milliseconds:
 /// longer than the batching delay.
 const MAX_LAG_MS: u64 = 1_000;
@@ -77,14 +80,31 @@
     /// Makes one probe; any kind of answer means that the store is reachable.
     async fn probe(&mut self) -> Result<(), store::StoreError> {
         let Inputs { store, host, tracker, metrics, .. } = &mut self.inputs;
-        let called_at = tokio::time::Instant::now();
+        let mut called_at = tokio::time::Instant::now();
         let revision = tracker.configuration_revision();
-        let result = if revision == 0 {
-            store.read_stale(object::Kind::Hosts, host).await.map(|_| false)
-        } else {
-            let kind = object::Kind::Configuration;
-            let changes = store.read_changes_stale(kind, revision).await;
-            changes.map(|changes| !changes.events.is_empty())
+        let timeout = time::Duration::from_millis(CHANGES_TIMEOUT_MS);
+        let looked = match revision {
+            0 => None,
+            _ => {
+                let kind = object::Kind::Configuration;
+                let changes =
+                    tokio::time::timeout(timeout, store.read_changes_stale(kind, revision)).await;
+                let is_lost =
+                    matches!(&changes, Err(_) | Ok(Err(store::StoreError::ConnectionLost(_))));
+                if is_lost {
+                    metrics.record_store_call("pulse", true);
+                }
+                changes.ok().filter(|_| !is_lost)
+            }
+        };
+        let result = match looked {
+            Some(changes) => changes.map(|changes| !changes.events.is_empty()),
+            // A lost connection says nothing about the store until a new one was tried.
+            None => {
+                store.disconnect();
+                called_at = tokio::time::Instant::now();
+                store.read_stale(object::Kind::Hosts, host).await.map(|_| false)
+            }
         };
         metrics.record_store_call("pulse", result.is_err());
         if result.as_ref().err().is_none_or(|error| !error.is_outage()) {
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -37,7 +37,7 @@
 /// milliseconds: less than `STORE_STALE_MS`, so that a relay that lost the store together with the
 /// previous one, and has not noticed yet, does not pass for healthy.
 const STORE_PROOF_MAX_AGE_MS: u64 = 900;
-/// Time for which a relay may report the store as lost although the store answers this host, in
+/// Time for which a relay may report the store as lost while the store answers this host, in
 /// milliseconds: after an outage hosts do not notice the store's return at the same moment.
 const STORE_RECOVERY_LAG_MS: u64 = 600;
 /// Interval between store probes of a host that suspects its relay, in milliseconds.
@@ -97,6 +97,8 @@
     probed_ms: Option<u64>,
     /// Whether the store answered that probe.
     store_answers: bool,
+    /// Since when the store has answered this host's probes, unless the last one failed.
+    store_answers_since_ms: Option<u64>,
 }
 
 /// What to do next about a relay.
@@ -135,6 +137,7 @@
             store_lost_ms: None,
             probed_ms: None,
             store_answers: false,
+            store_answers_since_ms: None,
         }
     }
 
@@ -169,6 +172,8 @@
     pub fn record_probe(&mut self, store_answers: bool, now_ms: u64) -> Verdict {
         self.probed_ms = Some(now_ms);
         self.store_answers = store_answers;
+        self.store_answers_since_ms =
+            if store_answers { self.store_answers_since_ms.or(Some(now_ms)) } else { None };
         match store_answers {
             true if self.is_degraded(now_ms) => Verdict::Leave,
             false if self.is_silent(now_ms) || self.store_lost_ms.is_some() => Verdict::Isolated,
@@ -178,8 +183,10 @@
 
     /// Whether a host that the store answers should leave the relay.
     fn is_degraded(&self, now_ms: u64) -> bool {
-        let has_lost_store =
-            self.store_lost_ms.is_some_and(|lost_ms| now_ms >= lost_ms + STORE_RECOVERY_LAG_MS);
+        // After an outage the relay has as long to notice the store's return as this host.
+        let has_lost_store = self.store_lost_ms.zip(self.store_answers_since_ms).is_some_and(
+            |(lost_ms, since_ms)| now_ms >= lost_ms.max(since_ms) + STORE_RECOVERY_LAG_MS,
+        );
         has_lost_store
             || self.is_silent(now_ms)
             || self.is_stale(now_ms)
--- a/crates/policy/tests/relay.rs
+++ b/crates/policy/tests/relay.rs
@@ -199,3 +199,34 @@
     assert_eq!(health.record_probe(true, 1_010), relay::Verdict::Keep);
     assert_eq!(health.record_probe(false, 1_410), relay::Verdict::Isolated);
 }
+
+/// Hosts and their relay do not notice the store's return at the same moment. If the hosts that are
+/// first left the relay, all of them would list everything at once.
+#[rstest]
+fn relay_that_notices_the_return_of_the_store_later_is_kept() {
+    let mut health = relay::RelayHealth::new(0);
+    health.record_heartbeat(0, true, 0);
+    for now_ms in (1_000..4_000).step_by(450) {
+        health.record_heartbeat(now_ms, false, now_ms);
+        assert_eq!(health.next_action(now_ms), relay::Action::ProbeStore);
+        assert_eq!(health.record_probe(false, now_ms + 10), relay::Verdict::Isolated);
+    }
+    health.record_heartbeat(4_000, false, 4_200);
+    assert_eq!(health.record_probe(true, 4_210), relay::Verdict::Keep);
+    health.record_heartbeat(4_500, false, 4_500);
+    assert_eq!(health.next_action(4_600), relay::Action::Continue);
+    health.record_heartbeat(50, true, 4_750);
+    assert_eq!(health.next_action(5_000), relay::Action::Continue);
+}
+
+#[rstest]
+fn relay_that_does_not_notice_the_return_of_the_store_is_left() {
+    let mut health = relay::RelayHealth::new(0);
+    health.record_heartbeat(0, true, 0);
+    health.record_heartbeat(400, false, 1_000);
+    assert_eq!(health.record_probe(false, 1_010), relay::Verdict::Isolated);
+    health.record_heartbeat(800, false, 1_400);
+    assert_eq!(health.record_probe(true, 1_410), relay::Verdict::Keep);
+    health.record_heartbeat(1_400, false, 2_000);
+    assert_eq!(health.record_probe(true, 2_020), relay::Verdict::Leave);
+}
