Leave the retry allowance to hosts that have run for a window

Cause: a process that has just started does not know the other hosts, nor what its former run has used. It took the whole allowance if it knew only itself, and a whole share again after each restart.

Change: in its first window a process uses two retries of the allowance at most, within the part of the budget that hosts leave unused.

Not reproduced with real processes.

--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -121,7 +121,7 @@
     let subscribers: Vec<_> =
         (0..HOST_COUNT).filter(|index| deployment.uses_relay(*index)).collect();
     fleet.store.set_mode(store::Mode::UnansweredChanges);
-    tokio::time::sleep(time::Duration::from_millis(3_000)).await;
+    tokio::time::sleep(time::Duration::from_secs(3)).await;
     fleet.store.set_mode(store::Mode::Up);
     for index in &subscribers {
         let log = fleet.log(*index);
--- a/crates/gateway/src/store_probe.rs
+++ b/crates/gateway/src/store_probe.rs
@@ -83,28 +83,24 @@
         let mut called_at = tokio::time::Instant::now();
         let revision = tracker.configuration_revision();
         let timeout = time::Duration::from_millis(CHANGES_TIMEOUT_MS);
-        let looked = match revision {
-            0 => None,
-            _ => {
-                let kind = object::Kind::Configuration;
-                let changes =
-                    tokio::time::timeout(timeout, store.read_changes_stale(kind, revision)).await;
-                let is_lost =
-                    matches!(&changes, Err(_) | Ok(Err(store::StoreError::ConnectionLost(_))));
-                if is_lost {
-                    metrics.record_store_call("pulse", true);
-                }
-                changes.ok().filter(|_| !is_lost)
+        let mut looked = None;
+        if revision != 0 {
+            let calling = store.read_changes_stale(object::Kind::Configuration, revision);
+            looked = match tokio::time::timeout(timeout, calling).await {
+                Ok(Err(store::StoreError::ConnectionLost(_))) | Err(_) => None,
+                Ok(result) => Some(result),
+            };
+            if looked.is_none() {
+                metrics.record_store_call("pulse", true);
             }
-        };
-        let result = match looked {
-            Some(changes) => changes.map(|changes| !changes.events.is_empty()),
+        }
+        let result = if let Some(changes) = looked {
+            changes.map(|changes| !changes.events.is_empty())
+        } else {
             // A lost connection says nothing about the store until a new one was tried.
-            None => {
-                store.disconnect();
-                called_at = tokio::time::Instant::now();
-                store.read_stale(object::Kind::Hosts, host).await.map(|_| false)
-            }
+            store.disconnect();
+            called_at = tokio::time::Instant::now();
+            store.read_stale(object::Kind::Hosts, host).await.map(|_| false)
         };
         metrics.record_store_call("pulse", result.is_err());
         if result.as_ref().err().is_none_or(|error| !error.is_outage()) {
--- a/crates/policy/src/retry_quota.rs
+++ b/crates/policy/src/retry_quota.rs
@@ -4,7 +4,9 @@
 //! The deployment's budget is a fraction of its requests plus an allowance. A host may use its own
 //! share: the fraction of its own requests, and the allowance divided by the number of hosts. The
 //! sum therefore stays within the budget even if hosts cannot reach each other. A host that was lost
-//! may have used its share just before, so its share is not used by others within the window.
+//! may have used its share just before, so its share is not used by others within the window. A
+//! process that has just started knows neither the other hosts nor what its former run has used, so
+//! in its first window it has only a small part of the allowance, which the others leave unused.
 
 use rand::RngExt as _;
 use toucanwall_routing::number;
@@ -20,6 +22,9 @@
 const FAILURE_RESERVE_PERCENT: u64 = 25;
 /// Maximum number of retries that are reserved for failures: a host sees few failures at a time.
 const MAX_FAILURE_RESERVE: u64 = 3;
+/// Maximum part of the allowance that a process uses in its first window, in retries: until it knows
+/// the other hosts, it cannot tell its share.
+const MAX_STARTING_ALLOWANCE: u64 = 2;
 /// Ratios and budgets are kept in thousandths.
 const MILLI_PER_RETRY: u64 = 1_000;
 
@@ -47,7 +52,7 @@
 }
 
 impl RetryQuota {
-    /// Creates a quota without recorded requests.
+    /// Creates a quota without recorded requests; times are counted from the start of the process.
     #[must_use]
     pub fn new<R>(limits: RetryLimits, rng: &mut R) -> Self
     where
@@ -94,6 +99,12 @@
         let from_requests = self.requests.count(now_ms) * to_milli(self.limits.ratio);
         let host_count = self.host_counts.record(host_count, now_ms).max(1);
         let allowance = self.limits.allowance * MILLI_PER_RETRY / host_count;
+        if now_ms < self.limits.window_ms {
+            let unused = allowance * (100 - USED_PERCENT) / 100;
+            let starting = unused.min(MAX_STARTING_ALLOWANCE * MILLI_PER_RETRY);
+            let budget_milli = from_requests * USED_PERCENT / 100 + starting;
+            return (budget_milli + self.rounding_milli) / MILLI_PER_RETRY;
+        }
         let budget_milli = (from_requests + allowance) * USED_PERCENT / 100;
         (budget_milli + self.rounding_milli) / MILLI_PER_RETRY
     }
