Keep reports of several roll-outs within a datagram

Cause: answers by route made a datagram of four or more roll-outs longer than the receiver's buffer, so it was dropped as malformed. Found by reading; no test, since the module is private to the crate.

Change: the answers by route are left out of a datagram that would hold more than twelve of them; they reach the relay in any case.

--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -18,6 +18,8 @@
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Maximum number of roll-out reports in a datagram, which fit into it.
 const MAX_REPORTS: usize = 6;
+/// Maximum number of routes in the reports of a datagram, which fit into it beside the reports.
+const MAX_ROUTES: usize = 12;
 /// Delay after a datagram could not be received, in milliseconds.
 const RECEIVE_RETRY_DELAY_MS: u64 = 10;
 
@@ -92,6 +94,11 @@
         hosts: &[Arc<host::HostEntry>],
     ) {
         reports.truncate(MAX_REPORTS);
+        let routes = reports.iter().map(|report| report.routes.len()).sum::<usize>();
+        if routes > MAX_ROUTES {
+            // The answers by route reach the relay in any case.
+            reports.iter_mut().for_each(|report| report.routes.clear());
+        }
         let datagram = Datagram::Rollouts { host: own_name.clone(), reports };
         for host in hosts {
             self.send(&datagram, host.peer_address);
