--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -97,7 +97,9 @@
         let routes = reports.iter().map(|report| report.routes.len()).sum::<usize>();
         if routes > MAX_ROUTES {
             // The answers by route reach the relay in any case.
-            reports.iter_mut().for_each(|report| report.routes.clear());
+            for report in &mut reports {
+                report.routes.clear();
+            }
         }
         let datagram = Datagram::Rollouts { host: own_name.clone(), reports };
         for host in hosts {
