--- a/crates/policy/src/canary.rs
+++ b/crates/policy/src/canary.rs
@@ -5,10 +5,10 @@
 //! only. In the first half of the roll-out's duration, sessions keep their version, and only
 //! requests without a session try the new one. Then a part of all traffic goes to the new version,
 //! so that failures show while few requests are affected. All traffic is cut over shortly before
-//! the end. Until then the new version gets no more than a bad one may get, whatever its
+//! the end. Until the end the new version gets no more than a bad one may get, whatever its
 //! answers show: some versions fail only under a load that does not come before the end. A service
 //! with few requests would show little of the new version within that part of its traffic, so some
-//! requests more are tried within the number that a bad version may get besides. Each host
+//! more requests try it, within the number that a bad version may get in addition. Each host
 //! judges by its own answers and by the reports of other hosts; a host that finds the new version
 //! bad reverts the roll-out for all.
 
@@ -41,8 +41,8 @@
 /// Time before the end at which the roll-out is marked as completed, in milliseconds: leaves room
 /// for a store that is slow to answer.
 const COMPLETE_BEFORE_END_MS: u64 = 1_500;
-/// Divisor of the duration: the time from the completion to the end is at most this part of it, so
-/// that requests to the old version may end after the cutover.
+/// Divisor of the duration: the time from the completion to the end is at most this part of it,
+/// except in short roll-outs, so that requests to the old version may end after the cutover.
 const COMPLETE_DIVISOR: u64 = 20;
 /// Time from the completion to the end that is kept unless the cutover leaves less, in milliseconds:
 /// several times what another host waits before it takes the step in place of the first one.
