Let two tests wait for what they check

Both failed once each and were traced.

relays_are_kept_while_the_store_answers_no_calls_for_changes: hosts that start together have their final roles only after three seconds; one that started before the relays were known then subscribes and drops its own subscribers, without any fault of the store ("relay left, unexpected end of file"). The test now starts after that and compares each host's count of lost relays, and which hosts are relays, before and after the fault.

--- a/crates/daemon/tests/recorded.rs
+++ b/crates/daemon/tests/recorded.rs
@@ -129,7 +129,8 @@
 }
 
 /// Subscribes to a host; returns the connection and the lists of all kinds, or `None` if the host
-/// refuses the subscription or one of the lists is empty.
+/// refuses the subscription, one of the lists is empty, or its relay has not received the status of
+/// the roll-out yet.
 async fn subscribe(
     address: net::SocketAddr,
     run_id: &Value,
@@ -140,9 +141,14 @@
     for _ in 0..KINDS {
         lists.push(receive_frame(&mut stream).await?);
     }
-    let has_objects =
-        |list: &Value| list["listing"]["objects"].as_array().is_some_and(|list| !list.is_empty());
-    lists.iter().all(has_objects).then_some((stream, lists))
+    let is_complete = |list: &Value| match list["listing"]["objects"].as_array() {
+        Some(objects) if frame_type(list) == "listing rollouts" => {
+            objects.iter().any(|object| !object["status"].is_null())
+        }
+        Some(objects) => !objects.is_empty(),
+        None => false,
+    };
+    lists.iter().all(is_complete).then_some((stream, lists))
 }
 
 #[rstest]
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/relay.rs
@@ -13,6 +13,9 @@
 const HOST_COUNT: usize = 5;
 /// Number of hosts of a data centre that watch the store and act as relays.
 const RELAY_COUNT: usize = 2;
+/// Time after which hosts that started together have their final roles: one that started before the
+/// relays were known watches the store for three seconds.
+const ROLES_SETTLED: time::Duration = time::Duration::from_millis(3_500);
 
 /// A fault of a relay.
 #[derive(Debug, Clone, Copy)]
@@ -118,15 +121,18 @@
 async fn relays_are_kept_while_the_store_answers_no_calls_for_changes() {
     let deployment = Deployment::start().await;
     let fleet = &deployment.fleet;
-    let subscribers: Vec<_> =
-        (0..HOST_COUNT).filter(|index| deployment.uses_relay(*index)).collect();
+    tokio::time::sleep(ROLES_SETTLED).await;
+    let relays = deployment.relays();
+    assert_eq!(relays.len(), RELAY_COUNT);
+    let relays_left = |index| fleet.log(index).matches("relay left").count();
+    let left_before: Vec<_> = (0..HOST_COUNT).map(relays_left).collect();
     fleet.store.set_mode(store::Mode::UnansweredChanges);
     tokio::time::sleep(time::Duration::from_secs(3)).await;
     fleet.store.set_mode(store::Mode::Up);
-    for index in &subscribers {
-        let log = fleet.log(*index);
-        assert!(!log.contains("relay left"), "host {index}\n{log}");
+    for (index, left_before) in left_before.into_iter().enumerate() {
+        assert_eq!(relays_left(index), left_before, "host {index}\n{}", fleet.log(index));
     }
+    assert_eq!(deployment.relays(), relays, "the same hosts watch the store");
     deployment.revoke(3, &(0..HOST_COUNT).collect::<Vec<_>>()).await;
 }
 
