Send a request that fails on a new version to the old one

Change: a request without a session that failed on the new version is sent next to the old one, so the caller has a better chance, and the failure counts against the new version only if the old one succeeds (attribution.rs). With that noise gone the doubt at the completion is lowered from 3.0 to 2.1, above a single bad answer, the penalty of a route from 1.0 to 0.5, and a slight fault that is spread over the whole roll-out is doubted too.

The daemon tests rollouts.rs fail when the new version is not avoided (Attribution::avoids_target).

--- a/crates/daemon/tests/gateway_fleet/mod.rs
+++ b/crates/daemon/tests/gateway_fleet/mod.rs
@@ -103,6 +103,14 @@
     body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
 }
 
+/// Ids of requests that are routed to a new version from the start of its roll-out.
+pub fn canary_request_ids() -> impl Iterator<Item = String> {
+    let hash = |id: &String| xxhash_rust::xxh3::xxh3_64(id.as_bytes()) >> 32;
+    (0..)
+        .map(|number: u32| format!("early-{number}"))
+        .filter(move |id| hash(id) < u64::from(u32::MAX) / 50)
+}
+
 /// The test configuration with the given version number.
 pub fn configuration(version: u64) -> serde_json::Value {
     let route = |prefix: &str, kind: &str, service: &str, attempts: u64| {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -82,6 +82,14 @@
     ServerError(hyper::StatusCode),
 }
 
+impl AttemptError {
+    /// Returns whether the server failed the request: it was reached and did not decline.
+    #[must_use]
+    pub fn is_server_failure(&self) -> bool {
+        !matches!(self, Self::Unreachable(_) | Self::Declined(_))
+    }
+}
+
 /// Accounting of a request that a server works on; dropping it records the end of the attempt.
 #[derive(Debug)]
 pub struct InFlight {
@@ -90,9 +98,9 @@
     pub server: Arc<server::BackendServer>,
     side: Option<canary::Side>,
     kind: canary::Kind,
-    /// Whether another server has failed the request before, so that a further failure is no
-    /// evidence on this one: some requests fail everywhere.
-    is_suspect: bool,
+    /// Whether a break from now on is evidence on the server's version: the failures of a request
+    /// count once, and before the response has begun another attempt shows whether they count.
+    counts_break: bool,
     content_hash: u64,
     forecast_key: state::ForecastKey,
     /// Work of processing the prompt, in prompt tokens of the smallest model.
@@ -213,7 +221,7 @@
             server,
             side,
             kind: exchange.kind(),
-            is_suspect: exchange.has_failed_attempt,
+            counts_break: false,
             content_hash: exchange.content_hash,
             forecast_key: (exchange.service.clone(), exchange.model.clone()),
             prompt_units: request.prompt_units(),
@@ -228,6 +236,11 @@
         }
     }
 
+    /// Lets a break of the stream that has begun count as evidence on the server's version.
+    pub fn count_break(&mut self) {
+        self.counts_break = true;
+    }
+
     /// Records the first byte of a stream, or the head of a response that is buffered in full; only
     /// the first call has an effect.
     pub fn record_first_byte(&mut self) {
@@ -277,7 +290,8 @@
             self.event_intervals_ms.sort_unstable();
             let quartile = self.event_intervals_ms.len() / 4;
             let event_interval_ms = self.event_intervals_ms.get(quartile).copied();
-            let answer = canary::Answer { has_failed: false, first_byte_ms, event_interval_ms };
+            let answer =
+                canary::Answer { first_byte_ms, event_interval_ms, ..canary::Answer::default() };
             self.record_rollout_sample(answer);
         }
     }
@@ -333,7 +347,7 @@
     pub fn record_outcome(&mut self, outcome: placement::Outcome) {
         if self.outcome.is_none() {
             self.outcome = Some(outcome);
-            if outcome == placement::Outcome::Failed && !self.is_suspect {
+            if outcome == placement::Outcome::Failed && self.counts_break {
                 let answer = canary::Answer { has_failed: true, ..canary::Answer::default() };
                 self.record_rollout_sample(answer);
             }
--- a/crates/gateway/src/dispatch_parameters.rs
+++ b/crates/gateway/src/dispatch_parameters.rs
@@ -128,6 +128,7 @@
         canary::Request {
             key: ingress::stable_hash(session.unwrap_or(&self.head.attempt_id)),
             has_session: session.is_some(),
+            has_failed_on_target: self.attribution.avoids_target(),
         }
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -7,6 +7,7 @@
 use toucanwall_platform::request;
 use toucanwall_platform::response;
 use toucanwall_policy::admission;
+use toucanwall_policy::attribution;
 use toucanwall_policy::canary;
 use toucanwall_policy::crash_history;
 use toucanwall_policy::placement;
@@ -67,8 +68,8 @@
     pub model: Option<name::ModelName>,
     /// Number of attempts so far.
     pub attempts: u32,
-    /// Whether a server has failed an attempt.
-    pub has_failed_attempt: bool,
+    /// Which version failed attempts count against.
+    pub attribution: attribution::Attribution,
     /// Servers to which the request is not sent again.
     pub excluded: collections::BTreeSet<name::ServerId>,
 }
@@ -111,6 +112,12 @@
     Failed(attempt::AttemptError, Option<execution::NotRunProof>),
 }
 
+impl Response {
+    fn is_server_error(&self) -> bool {
+        matches!(self, Self::Complete(response) if response.status().is_server_error())
+    }
+}
+
 impl Exchange {
     /// Makes attempts until there is a final response.
     pub async fn run(mut self) -> Response {
@@ -121,11 +128,26 @@
         loop {
             let (assignment, sent) = match self.next_step(execution) {
                 NextStep::Send(assignment, sent) => (assignment, sent),
-                NextStep::End(response) => return fallback.map_or(response, Response::Complete),
+                NextStep::End(response) => {
+                    self.settle_failure();
+                    return fallback.map_or(response, Response::Complete);
+                }
             };
             let server = self.record_attempt(&assignment);
+            let (side, sent_at_ms) = (assignment.side, self.state.clock.now_ms());
             let (outcome, error_response) = self.run_attempt(assignment).await;
             fallback = error_response.or(fallback);
+            match &outcome {
+                AttemptOutcome::Failed(error, _) if error.is_server_failure() => {
+                    self.record_failure(side, sent_at_ms);
+                }
+                AttemptOutcome::Response(response) if response.is_server_error() => {
+                    self.record_failure(side, sent_at_ms);
+                    self.settle_failure();
+                }
+                AttemptOutcome::Response(_) | AttemptOutcome::Escalate(_) => self.settle_failure(),
+                AttemptOutcome::Failed(..) => {}
+            }
             execution = match outcome {
                 AttemptOutcome::Response(Response::Stream(mut event_stream)) => {
                     event_stream.attach_exchange(self);
@@ -139,7 +161,6 @@
                     sent.unknown()
                 }
                 AttemptOutcome::Failed(error, proof) => {
-                    self.has_failed_attempt = true;
                     self.log_event("attempt failed", &server, &error.to_string());
                     self.state.metrics.record_attempt_error(&error);
                     match proof {
@@ -190,6 +211,36 @@
         }
     }
 
+    /// Records a failed attempt as evidence on the version of its server. One that lasted until the
+    /// deadline says how long the server takes, not that it failed.
+    fn record_failure(&mut self, side: Option<canary::Side>, sent_at_ms: u64) {
+        let now_ms = self.state.clock.now_ms();
+        if now_ms + MIN_ATTEMPT_MS < self.deadline_at_ms {
+            self.attribution.record_failure(side, self.head.session.is_some());
+            return;
+        }
+        let answer = canary::Answer {
+            first_byte_ms: Some(now_ms.saturating_sub(sent_at_ms)),
+            has_timed_out: true,
+            ..canary::Answer::default()
+        };
+        self.record_rollout_answer(side, answer);
+    }
+
+    /// Counts a failed attempt against the version that failed it, now that no further attempt can
+    /// show that the request itself fails.
+    fn settle_failure(&mut self) {
+        if let Some(side) = self.attribution.settle() {
+            let answer = canary::Answer { has_failed: true, ..canary::Answer::default() };
+            self.record_rollout_answer(side, answer);
+        }
+    }
+
+    fn record_rollout_answer(&self, side: Option<canary::Side>, answer: canary::Answer) {
+        let now_ms = self.state.clock.now_ms();
+        self.state.rollouts.record_response(&self.service, side, self.kind(), answer, now_ms);
+    }
+
     /// Counts and logs an attempt, and excludes the server from later ones.
     fn record_attempt(&mut self, assignment: &Assignment) -> Arc<server::BackendServer> {
         self.attempts += 1;
@@ -317,7 +368,12 @@
     async fn begin_stream(&self, opened: attempt::OpenResponse) -> AttemptOutcome {
         let splitter = sse::EventSplitter::resume_after(self.last_event_id);
         match stream::EventStream::begin(opened, splitter, self.response_timeout()).await {
-            Ok(event_stream) => AttemptOutcome::Response(Response::Stream(Box::new(event_stream))),
+            Ok(mut event_stream) => {
+                if self.attribution.is_none() {
+                    event_stream.count_break();
+                }
+                AttemptOutcome::Response(Response::Stream(Box::new(event_stream)))
+            }
             Err(error) => AttemptOutcome::Failed(error, None),
         }
     }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -9,6 +9,7 @@
 use rand::RngExt as _;
 use toucanwall_platform::request;
 use toucanwall_platform::response;
+use toucanwall_policy::attribution;
 use toucanwall_policy::escalation;
 use toucanwall_routing::configuration;
 use toucanwall_routing::name;
@@ -228,7 +229,7 @@
         last_event_id: head.last_event_id,
         model: escalation::first_model(&route.models).filter(|_| router_selects_model).cloned(),
         attempts: 0,
-        has_failed_attempt: false,
+        attribution: attribution::Attribution::default(),
         excluded: std::collections::BTreeSet::new(),
         head,
         parts,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -96,6 +96,13 @@
         })
     }
 
+    /// Lets a break of the stream count as evidence on the server's version.
+    pub fn count_break(&mut self) {
+        if let Some(upstream) = &mut self.upstream {
+            upstream.in_flight.count_break();
+        }
+    }
+
     /// Attaches the request, so that the stream can be resumed on another server.
     pub fn attach_exchange(&mut self, exchange: exchange::Exchange) {
         self.exchange = Some(exchange);
--- a/crates/policy/src/canary/evidence.rs
+++ b/crates/policy/src/canary/evidence.rs
@@ -12,6 +12,8 @@
 const ACCEPTED_EXCESS: f64 = 0.03;
 /// Rate of bad answers, above the accepted one, that must lead to a revert.
 const REJECTED_EXCESS: f64 = 0.2;
+/// Rate of bad answers, above the accepted one, that is doubted at the completion.
+const SLIGHT_EXCESS: f64 = 0.08;
 /// Minimum rate of bad answers in the comparison; lower ones cannot be told from zero.
 const MIN_RATE: f64 = 0.01;
 /// Maximum rate of bad answers in the comparison.
@@ -74,6 +76,15 @@
     (baseline_rate + ACCEPTED_EXCESS).clamp(MIN_RATE, MAX_RATE - REJECTED_EXCESS)
 }
 
+/// The logarithm of the likelihood ratio of a slight fault to none.
+pub fn weight_of_slight_fault(evidence: sequential::Evidence, accepted_rate: f64) -> f64 {
+    let bad = number::saturating_f64(evidence.bad);
+    let good = number::saturating_f64(evidence.answers - evidence.bad);
+    let rejected_rate = accepted_rate + SLIGHT_EXCESS;
+    bad * (rejected_rate / accepted_rate).ln()
+        + good * ((1.0 - rejected_rate) / (1.0 - accepted_rate)).ln()
+}
+
 fn rate(evidence: sequential::Evidence) -> f64 {
     if evidence.answers == 0 {
         0.0
--- a/crates/policy/src/canary/mod.rs
+++ b/crates/policy/src/canary/mod.rs
@@ -27,18 +27,19 @@
 pub use history::History;
 
 /// Part of the requests that a bad version may get regardless of the traffic that is used to try
-/// the new version; the rest covers hosts that restart and requests that are retried.
+/// the new version; the rest covers hosts that restart.
 const TRIAL_FRACTION: f64 = 0.7;
 /// Evidence at which a host that judges alone reverts, as the logarithm of the likelihood ratio of
 /// bad to good: a good version reaches it by chance once in `e^6`, about four hundred, answers.
 /// With several hosts the threshold is higher, since each of them could be wrong.
 const REVERT_THRESHOLD: f64 = 6.0;
 /// Evidence at which a version is reverted rather than completed, on the same scale: after the
-/// completion the old servers are gone, and a doubt can no longer be cleared up.
-const DOUBT_THRESHOLD: f64 = 3.0;
+/// completion the old servers are gone, and a doubt can no longer be cleared up. A single bad answer
+/// does not reach it.
+const DOUBT_THRESHOLD: f64 = 2.1;
 /// Evidence by which that of a single route must exceed the thresholds: each route is a further
 /// chance to err.
-const ROUTE_PENALTY: f64 = 1.0;
+const ROUTE_PENALTY: f64 = 0.5;
 /// Maximum number of routes whose answers are kept apart.
 const MAX_ROUTES: usize = 32;
 /// Rate of slow answers that is accepted: those of a version that is as fast as the old one exceed
@@ -67,6 +68,8 @@
     pub key: u64,
     /// Whether the request belongs to a session.
     pub has_session: bool,
+    /// Whether an attempt has failed on the new version.
+    pub has_failed_on_target: bool,
 }
 
 /// The kind of a request, as far as its answers are compared.
@@ -87,6 +90,9 @@
     pub first_byte_ms: Option<u64>,
     /// Usual time between the first events of a stream, in milliseconds.
     pub event_interval_ms: Option<u64>,
+    /// Whether the caller's deadline passed first. The time to the first byte is then the time until
+    /// the deadline; on some routes no version answers before it.
+    pub has_timed_out: bool,
 }
 
 /// The two sides that a roll-out compares.
@@ -173,7 +179,11 @@
         match state {
             rollout::State::Completed => Side::Target,
             rollout::State::Reverted => Side::Baseline,
-            rollout::State::Ordered | rollout::State::InProgress if self.is_bad => Side::Baseline,
+            rollout::State::Ordered | rollout::State::InProgress
+                if self.is_bad || (request.has_failed_on_target && !request.has_session) =>
+            {
+                Side::Baseline
+            }
             rollout::State::Ordered | rollout::State::InProgress => {
                 let elapsed_ms = self.elapsed_ms(now_ms);
                 let target_fraction =
@@ -223,7 +233,8 @@
                 // After the cutover engines read prompts that they have not cached, so that the
                 // first byte of any version is late.
                 let has_warm_servers = self.elapsed_ms(now_ms) < self.schedule().cutover_ms();
-                let first_byte_ms = answer.first_byte_ms.filter(|_| has_warm_servers);
+                let is_comparable = has_warm_servers || answer.has_timed_out;
+                let first_byte_ms = answer.first_byte_ms.filter(|_| is_comparable);
                 let first_byte = self.history.compare_first_byte(kind.timing, first_byte_ms);
                 let mut observed = Observations::default();
                 let is_bad = answer.has_failed
@@ -298,8 +309,20 @@
         }
     }
 
+    /// Whether the answers so far leave a doubt, also of a slight fault: those that are spread over
+    /// the whole roll-out never reach the cumulative sums' threshold.
     fn is_doubtful(&self) -> bool {
-        self.evidence_against() >= DOUBT_THRESHOLD
+        let accepted = evidence::accepted_rate(self.history.answers);
+        let stalls = sequential::Evidence { bad: self.target.stalled, ..self.target.speeds };
+        let overall = [
+            evidence::weight_of_slight_fault(self.target.answers, accepted),
+            evidence::weight_of_slight_fault(self.target.speeds, ACCEPTED_SLOW_RATE),
+            evidence::weight_of_slight_fault(
+                stalls,
+                evidence::accepted_rate(self.history.stalls()),
+            ),
+        ];
+        overall.into_iter().fold(self.evidence_against(), f64::max) >= DOUBT_THRESHOLD
     }
 
     /// The answers of the old version, and what is known of the new one.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! no I/O.
 
 pub mod admission;
+pub mod attribution;
 pub mod balance;
 pub mod canary;
 pub mod cascade;
