Bound what a server may send before its response is complete

Change: a connection fails once 64 KiB were read without the head of a response (head_limit.rs). Bodies are read within 32 MiB for all of them together, of which the first 64 KiB of each do not count, so that large ones do not keep small ones out (response_buffer.rs). Both count as the attempt error too_large.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::exchange;
 use crate::execution;
 use crate::pool;
+use crate::response_buffer;
 use crate::state;
 
 /// Time after the first byte of a response in which a request counts as just started, in
@@ -66,6 +67,9 @@
         /// Timeout in milliseconds.
         timeout_ms: u64,
     },
+    /// The server sent more than a response may have.
+    #[error("{0}")]
+    TooLarge(String),
     /// The response names the ID of another attempt, or none.
     #[error("response does not carry the ID of this attempt")]
     Mismatched,
@@ -82,6 +86,15 @@
     ServerError(hyper::StatusCode),
 }
 
+impl From<response_buffer::ReadError> for AttemptError {
+    fn from(error: response_buffer::ReadError) -> Self {
+        match error {
+            response_buffer::ReadError::Broken(error) => Self::Broken(error.to_string()),
+            response_buffer::ReadError::TooLarge(_) => Self::TooLarge(error.to_string()),
+        }
+    }
+}
+
 impl AttemptError {
     /// Returns whether the server failed the request: it was reached and did not decline.
     #[must_use]
@@ -166,6 +179,10 @@
                 in_flight.record_outcome(placement::Outcome::Failed);
                 return Err((AttemptError::NotWritten, not_written));
             }
+            Ok(Err(error @ pool::SendError::HeadTooLarge)) => {
+                in_flight.record_outcome(placement::Outcome::Failed);
+                return Err((AttemptError::TooLarge(error.to_string()), None));
+            }
             Ok(Err(pool::SendError::Broken(error))) => {
                 return Err((in_flight.record_break(error.to_string()).await, None));
             }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,7 +3,6 @@
 use std::collections;
 use std::sync::Arc;
 
-use http_body_util::BodyExt as _;
 use toucanwall_platform::request;
 use toucanwall_platform::response;
 use toucanwall_policy::admission;
@@ -23,8 +22,6 @@
 use crate::state;
 use crate::stream;
 
-/// Maximum size of a response that is buffered in full, in bytes.
-const BUFFERED_RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// Time before the caller's deadline at which a request times out, in milliseconds. The response
 /// has to reach the caller before the caller gives up.
 const RESPONSE_MARGIN_MS: u64 = 20;
@@ -384,15 +381,12 @@
     ) -> (AttemptOutcome, Option<hyper::Response<bytes::Bytes>>) {
         let attempt::OpenResponse { head, parts, body, connection, mut in_flight } = opened;
         in_flight.record_first_byte();
-        let body = http_body_util::Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES).collect();
-        let bytes = match tokio::time::timeout(self.response_timeout(), body).await {
-            Ok(Ok(body)) => body.to_bytes(),
+        let reading = self.state.buffer_budget.read(body);
+        let bytes = match tokio::time::timeout(self.response_timeout(), reading).await {
+            Ok(Ok(bytes)) => bytes,
             Ok(Err(error)) => {
                 in_flight.record_outcome(placement::Outcome::Failed);
-                return (
-                    AttemptOutcome::Failed(attempt::AttemptError::Broken(error.to_string()), None),
-                    None,
-                );
+                return (AttemptOutcome::Failed(error.into(), None), None);
             }
             Err(_elapsed) => {
                 in_flight.record_outcome(placement::Outcome::Failed);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -118,6 +118,7 @@
             attempt::AttemptError::Broken(_) => "broken",
             attempt::AttemptError::ServerEnded(_) => "server_ended",
             attempt::AttemptError::TimedOut { .. } => "silent",
+            attempt::AttemptError::TooLarge(_) => "too_large",
             attempt::AttemptError::Mismatched => "foreign",
             attempt::AttemptError::Unsealed => "unsealed",
             attempt::AttemptError::UnprovedNotRun(_) => "unproved",
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -10,6 +10,8 @@
 use toucanwall_platform::response;
 use toucanwall_routing::server;
 
+use crate::head_limit;
+
 /// Timeout for connecting in milliseconds. A lost SYN packet is retransmitted only after a second;
 /// trying another server is faster.
 const CONNECT_TIMEOUT_MS: u64 = 400;
@@ -49,6 +51,7 @@
 pub struct Connection {
     sender: Sender,
     driver: tokio::task::AbortHandle,
+    head_limit: head_limit::HeadLimit,
     key: ServerKey,
     is_new: bool,
 }
@@ -158,9 +161,15 @@
         &mut self,
         request: hyper::Request<RequestBody>,
     ) -> Result<hyper::Response<hyper::body::Incoming>, SendError> {
-        self.sender.try_send_request(request).await.map_err(|mut error| {
+        self.head_limit.start();
+        let result = self.sender.try_send_request(request).await;
+        let is_head_too_large = self.head_limit.is_exceeded() && result.is_err();
+        self.head_limit.end();
+        result.map_err(|mut error| {
             if error.take_message().is_some() {
                 SendError::NotWritten
+            } else if is_head_too_large {
+                SendError::HeadTooLarge
             } else {
                 SendError::Broken(error.into_error())
             }
@@ -190,6 +199,9 @@
     /// The connection failed, or the response is not valid HTTP.
     #[error("{0}")]
     Broken(hyper::Error),
+    /// The server sent too many bytes that are no response.
+    #[error("no response within the bytes that a response head may have")]
+    HeadTooLarge,
 }
 
 /// Returns whether a server's process has ended, as shown by a refused connection.
@@ -207,6 +219,9 @@
     let timeout = time::Duration::from_millis(CONNECT_TIMEOUT_MS);
     let stream = tokio::time::timeout(timeout, tokio::net::TcpStream::connect(key.0)).await??;
     stream.set_nodelay(true)?;
+    let head_limit = head_limit::HeadLimit::default();
+    head_limit.end();
+    let stream = head_limit::LimitedStream::new(stream, head_limit.clone());
     let io = hyper_util::rt::TokioIo::new(stream);
     let (sender, driver) =
         hyper::client::conn::http1::handshake(io).await.map_err(std::io::Error::other)?;
@@ -214,5 +229,5 @@
         // The error is also returned to the request that waits for a response on this connection.
         drop(driver.await);
     });
-    Ok(Connection { sender, driver: driver.abort_handle(), key, is_new: true })
+    Ok(Connection { sender, driver: driver.abort_handle(), head_limit, key, is_new: true })
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,6 +18,7 @@
 use crate::crashes;
 use crate::metrics;
 use crate::pool;
+use crate::response_buffer;
 use crate::rollouts;
 
 /// State of the gateway that all requests share.
@@ -31,6 +32,8 @@
     pub view: tokio::sync::watch::Receiver<Arc<view::View>>,
     /// Pool of connections to backend servers.
     pub pool: Arc<pool::Pool>,
+    /// Memory for response bodies that are being read.
+    pub buffer_budget: response_buffer::BufferBudget,
     /// Load of the backend servers, as known to this host.
     pub placement: Mutex<placement::Placement>,
     /// Roll-outs in progress.
@@ -83,6 +86,7 @@
             clock,
             view,
             pool: Arc::new(pool::Pool::default()),
+            buffer_budget: response_buffer::BufferBudget::default(),
             placement: Mutex::new(placement::Placement::new()),
             rollouts,
             crashes,
