--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -5,7 +5,7 @@
 
 use rstest::rstest;
 use toucanwall_platform_standin::backend;
-use toucanwall_platform_standin::backend::Endless;
+use toucanwall_platform_standin::endless::Endless;
 
 mod gateway_fleet;
 
--- a/crates/policy/src/attribution.rs
+++ b/crates/policy/src/attribution.rs
@@ -43,7 +43,8 @@
         self == Self::None
     }
 
-    /// Takes the failure that is known to count, once the request succeeds or is given up.
+    /// Takes the failure that counts, once the request succeeds or is given up: the side of the server
+    /// that failed, which is `None` if the service has no roll-out.
     pub fn settle(&mut self) -> Option<Option<canary::Side>> {
         match *self {
             Self::Suspected(side) => {
