Log and count what servers say about leaving in their responses

A response with the header was passed on and left no trace, so that the log could not tell a server's own word from the change of its entry in the store. Each such response now has a line with request and server, which `toucanctl explain` shows for the requests of that server, and a counter. No decision reads it yet.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -15,8 +15,9 @@
 /// is removed, within seconds.
 const CONTEXT_WINDOW_MS: u64 = 5_000;
 /// Log messages about hosts and servers that affect requests but carry no request id.
-const CONTEXT_MESSAGES: [&str; 7] = [
+const CONTEXT_MESSAGES: [&str; 8] = [
     "server left out for a while",
+    "server says that it is leaving",
     "server entry",
     "server entry vanished",
     "store lost",
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -194,6 +194,7 @@
         };
         let (parts, body) = response.into_parts();
         let head = response::decode(&parts, &exchange.head.attempt_id);
+        exchange.record_leaving_notice(&in_flight.server, head.leaving);
         return validate(OpenResponse { head, parts, body, connection, in_flight });
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -255,6 +255,25 @@
         Arc::clone(&assignment.server)
     }
 
+    /// Logs what a server says about leaving in its response to this request.
+    pub fn record_leaving_notice(
+        &self,
+        server: &server::BackendServer,
+        notice: response::LeavingNotice,
+    ) {
+        self.state.metrics.record_leaving_notice(notice);
+        match notice {
+            response::LeavingNotice::Absent => {}
+            response::LeavingNotice::Leaving => {
+                self.log_event("server says that it is leaving", server, "stated in a response");
+            }
+            response::LeavingNotice::Malformed => {
+                let what = "malformed notice of a server's leaving ignored";
+                self.log_event(what, server, "stated in a response");
+            }
+        }
+    }
+
     /// Decides whether to make another attempt, and on which server.
     fn next_step(&self, execution: execution::Status) -> NextStep {
         let now_ms = self.state.clock.now_ms();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus_client::metrics::gauge;
 use prometheus_client::metrics::histogram;
 use prometheus_client::registry;
+use toucanwall_platform::response;
 
 use crate::attempt;
 
@@ -24,6 +25,7 @@
     refused: CounterFamily,
     failed: CounterFamily,
     attempts_failed: CounterFamily,
+    leaving_notices: CounterFamily,
     connections: CounterFamily,
     store_calls: CounterFamily,
     change_sources: CounterFamily,
@@ -48,6 +50,9 @@
         let attempts_failed = CounterFamily::default();
         let help = "sends to servers that came to nothing";
         registry.register("attempts_failed", help, attempts_failed.clone());
+        let leaving_notices = CounterFamily::default();
+        let help = "responses by what they say about whether their server is leaving";
+        registry.register("leaving_notices", help, leaving_notices.clone());
         let connections = CounterFamily::default();
         registry.register("server_connections", "connections by age", connections.clone());
         let store_calls = CounterFamily::default();
@@ -76,6 +81,7 @@
             refused,
             failed,
             attempts_failed,
+            leaving_notices,
             connections,
             store_calls,
             change_sources,
@@ -127,6 +133,16 @@
         self.attempts_failed.get_or_create(&vec![("reason", reason)]).inc();
     }
 
+    /// Records a response that says something about whether its server is leaving.
+    pub fn record_leaving_notice(&self, notice: response::LeavingNotice) {
+        let notice = match notice {
+            response::LeavingNotice::Absent => return,
+            response::LeavingNotice::Leaving => "leaving",
+            response::LeavingNotice::Malformed => "malformed",
+        };
+        self.leaving_notices.get_or_create(&vec![("notice", notice)]).inc();
+    }
+
     /// Records the use of a new or an idle connection to a server.
     pub fn record_connection(&self, is_new: bool) {
         let age = if is_new { "new" } else { "kept" };
