--- a/crates/daemon/tests/gateway.rs
+++ b/crates/daemon/tests/gateway.rs
@@ -435,13 +435,7 @@
     let server = backend::Backend::start("e-1", low_confidence).await;
     let mut fleet = GatewayFleet::prepare().await;
     fleet.retry_allowance = retry_allowance;
-    let mut configuration = gateway_fleet::configuration(2);
-    configuration["routes"][2]["sizes"] = serde_json::json!(["small", "large"]);
-    configuration["services"][1]["inference_engine"] = serde_json::json!({
-        "slots": 8, "kv_capacity": 100_000,
-        "models": [{ "name": "small", "cost": 0.1 }, { "name": "large", "cost": 1.0 }],
-    });
-    fleet.store.put("config", "main", &configuration);
+    fleet.store.put("config", "main", &gateway_fleet::cascade_configuration(2));
     fleet.register("engines", &server, "ready");
     fleet.add_ready_host().await;
     // The retry budget grows with the requests for the service.
--- a/crates/daemon/tests/gateway_fleet/mod.rs
+++ b/crates/daemon/tests/gateway_fleet/mod.rs
@@ -143,6 +143,17 @@
     })
 }
 
+/// The test configuration with a route that may use two models.
+pub fn cascade_configuration(version: u64) -> serde_json::Value {
+    let mut configuration = configuration(version);
+    configuration["routes"][2]["sizes"] = serde_json::json!(["small", "large"]);
+    configuration["services"][1]["inference_engine"] = serde_json::json!({
+        "slots": 8, "kv_capacity": 100_000,
+        "models": [{ "name": "small", "cost": 0.1 }, { "name": "large", "cost": 1.0 }],
+    });
+    configuration
+}
+
 impl GatewayFleet {
     /// Registers the backend servers, starts hosts and waits until they are ready.
     pub async fn start(hosts: usize, servers: &[(&str, &backend::Backend)]) -> Self {
@@ -197,6 +208,13 @@
         self.store.put("servers", &server.id, &spec);
     }
 
+    /// Registers a run of a server that started at the given time.
+    pub fn register_run(&self, service: &str, server: &backend::Backend, born: u64) {
+        let mut spec = server_entry(service, server.address, "v1", "ready");
+        spec["born"] = born.into();
+        self.store.put("servers", &server.id, &spec);
+    }
+
     /// Starts the next host.
     pub fn add_host(&mut self) {
         let host = self.spawn(self.hosts.len());
