Send no requests to a server that has said that it leaves

The word now counts from the head of any response, also of one that is dropped, declined or interim, and from a draining entry. It is kept for each run of a server and is taken back only by a later run. All paths choose among the servers that accept requests by one function, and look again before they write to a connection; a request that was not sent does not use up an attempt. A 421 concerns whichever server is at the address.

--- a/crates/daemon/tests/leaving_servers.rs
+++ b/crates/daemon/tests/leaving_servers.rs
@@ -96,6 +96,16 @@
     assert_eq!(scenario.send().await.status, 200);
 }
 
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_connection_is_opened_to_a_leaving_server() {
+    let scenario = Scenario::start("/book/x").await;
+    scenario.announce_leaving().await;
+    let before = scenario.leaving.connections_opened();
+    scenario.probe().await;
+    assert_eq!(scenario.leaving.connections_opened(), before, "{}", scenario.fleet.log(0));
+}
+
 /// The registry may show a leaving server as ready for some time.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
@@ -109,6 +119,18 @@
     assert_eq!(scenario.probe().await, 0, "{}", scenario.fleet.log(0));
 }
 
+/// A server's older heartbeat may be written after its last one.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_entry_that_becomes_ready_again_receives_no_requests() {
+    let scenario = Scenario::start("/read/x").await;
+    scenario.fleet.register("desk", &scenario.leaving, "draining");
+    tokio::time::sleep(DRAIN_LIMIT / 2).await;
+    scenario.fleet.register("desk", &scenario.leaving, "ready");
+    tokio::time::sleep(DRAIN_LIMIT / 2).await;
+    assert_eq!(scenario.probe().await, 0, "{}", scenario.fleet.log(0));
+}
+
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn next_run_of_a_server_that_left_receives_requests() {
@@ -123,6 +145,38 @@
     scenario.fleet.wait_for("the next run to receive requests", has_returned).await;
 }
 
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn server_that_says_in_an_interim_response_that_it_leaves_receives_no_later_requests() {
+    let scenario = Scenario::start("/read/x").await;
+    scenario.leaving.enqueue([Behaviour::AnnounceLeavingInInterim]);
+    let is_told = async || {
+        scenario.send().await;
+        !scenario.leaving.arrivals().is_empty()
+    };
+    scenario.fleet.wait_for("a request to reach the leaving server", is_told).await;
+    tokio::time::sleep(DRAIN_LIMIT).await;
+    assert_eq!(scenario.probe().await, 0, "{}", scenario.fleet.log(0));
+}
+
+/// A server at a reused address rejects requests for the one that was there before.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn notice_in_a_rejection_concerns_the_server_at_that_address() {
+    let engine = backend::Backend::start("e-1", Behaviour::Stream { last: LAST_EVENT }).await;
+    let gone = backend::Backend::start("s-1", Behaviour::Respond).await;
+    let mut fleet = GatewayFleet::prepare().await;
+    fleet.store.put("config", "main", &gateway_fleet::configuration(2));
+    fleet.register_at("desk", &gone, engine.address, "ready");
+    fleet.register("engines", &engine, "ready");
+    fleet.add_ready_host().await;
+    engine.announce_leaving(true);
+    assert_eq!(fleet.send(0, "GET", "/read/x", &[]).await.expect("a response").status, 503);
+    tokio::time::sleep(DRAIN_LIMIT).await;
+    assert_eq!(fleet.send(0, "POST", "/chat/x", &[]).await.expect("a response").status, 503);
+    assert!(engine.executed().is_empty(), "{}", fleet.log(0));
+}
+
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_refused_at_once_if_all_servers_leave() {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 
 use crate::exchange;
 use crate::execution;
+use crate::leaving;
 use crate::pool;
 use crate::response_buffer;
 use crate::state;
@@ -45,6 +46,9 @@
 #[derive(Debug)]
 #[derive(thiserror::Error)]
 pub enum AttemptError {
+    /// The server was chosen, and no longer accepts requests.
+    #[error("server is leaving")]
+    NoLongerAccepts,
     /// The connection to the server could not be established.
     #[error("cannot connect to the server: {0}")]
     Unreachable(std::io::Error),
@@ -99,7 +103,7 @@
     /// Returns whether the server failed the request: it was reached and did not decline.
     #[must_use]
     pub fn is_server_failure(&self) -> bool {
-        !matches!(self, Self::Unreachable(_) | Self::Declined(_))
+        !matches!(self, Self::NoLongerAccepts | Self::Unreachable(_) | Self::Declined(_))
     }
 }
 
@@ -163,10 +167,21 @@
             }
         };
         exchange.state.metrics.record_connection(connection.is_new());
-        let request = exchange.request_to(&in_flight.server).map_err(|error| {
+        // The server may have announced its leaving while the connection was being opened.
+        if !exchange.state.still_accepts(&in_flight.server) {
+            in_flight.record_outcome(placement::Outcome::Cancelled);
+            return Err((AttemptError::NoLongerAccepts, not_written));
+        }
+        let mut request = exchange.request_to(&in_flight.server).map_err(|error| {
             let error = AttemptError::Broken(error.to_string());
             (error, not_written)
         })?;
+        leaving::watch_interim_responses(
+            &mut request,
+            &exchange.state,
+            &in_flight.server,
+            &exchange.head.attempt_id,
+        );
         let response = match tokio::time::timeout(timeout, connection.send(request)).await {
             Ok(Ok(response)) => response,
             // A server may close an idle connection at any time. That is no failure of the server;
@@ -194,7 +209,13 @@
         };
         let (parts, body) = response.into_parts();
         let head = response::decode(&parts, &exchange.head.attempt_id);
-        exchange.record_leaving_notice(&in_flight.server, head.leaving);
+        leaving::record_notice(
+            &exchange.state,
+            &in_flight.server,
+            &exchange.head.attempt_id,
+            head.leaving,
+            leaving::Source::Final(head.status),
+        );
         return validate(OpenResponse { head, parts, body, connection, in_flight });
     }
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -3,6 +3,8 @@
 use std::collections;
 use std::net;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::thread;
 use std::time;
 
@@ -10,9 +12,11 @@
 use toucanwall_platform::operator;
 use toucanwall_platform::registration;
 use toucanwall_policy::canary;
+use toucanwall_policy::server_notices;
 use toucanwall_routing::host;
 use toucanwall_routing::local_state;
 use toucanwall_routing::rollout;
+use toucanwall_routing::server;
 use toucanwall_routing::settings;
 use toucanwall_routing::view;
 
@@ -51,6 +55,8 @@
     pub clock: clock::Clock,
     /// Channel on which views are published.
     pub views: tokio::sync::watch::Sender<Arc<view::View>>,
+    /// What the backend servers have said of themselves, shared with the traffic thread.
+    pub notices: Arc<Mutex<server_notices::ServerNotices>>,
     /// Requests under which servers ended, shared with the traffic thread.
     pub crashes: Arc<crashes::Crashes>,
     /// Roll-outs known to this host, shared with the traffic thread.
@@ -335,7 +341,11 @@
                 let servers = objects.iter().filter_map(|object| {
                     registration::decode(object).map_err(|error| log_malformed(&error)).ok()
                 });
-                self.local_state.replace_servers(servers.collect(), now_ms);
+                let servers: Vec<_> = servers.collect();
+                for server in &servers {
+                    self.note_readiness(server, now_ms);
+                }
+                self.local_state.replace_servers(servers, now_ms);
             }
             object::Kind::Rollouts => {
                 let rollouts = objects.iter().filter_map(|object| {
@@ -369,6 +379,7 @@
                         version = server.version.as_str(), readiness:? = server.readiness,
                         revision = change.object.metadata.revision; "server entry"
                     );
+                    self.note_readiness(&server, now_ms);
                     self.local_state.put_server(server);
                 }
                 Err(error) => {
@@ -406,6 +417,14 @@
         }
     }
 
+    /// Records that the registry shows a server as leaving, which a later list may not show.
+    fn note_readiness(&self, server: &server::BackendServer, now_ms: u64) {
+        if server.readiness == server::Readiness::Draining {
+            let mut notices = self.inputs.notices.lock().unwrap_or_else(PoisonError::into_inner);
+            notices.record_leaving(server, now_ms);
+        }
+    }
+
     /// Learns of a server that ended under requests of this or another host.
     fn apply_crash_report(&mut self, object: &object::Object) {
         let metadata = &object.metadata;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -160,6 +160,7 @@
                 AttemptOutcome::Failed(error, proof) => {
                     self.log_event("attempt failed", &server, &error.to_string());
                     self.state.metrics.record_attempt_error(&error);
+                    self.uncount_unsent(&error);
                     match proof {
                         Some(proof) => sent.proved_not_run(proof),
                         None => sent.unknown(),
@@ -199,6 +200,7 @@
                 Err((error, proof)) => {
                     self.log_event("resumption failed", &server, &error.to_string());
                     self.state.metrics.record_attempt_error(&error);
+                    self.uncount_unsent(&error);
                     match proof {
                         Some(proof) => sent.proved_not_run(proof),
                         None => sent.unknown(),
@@ -255,22 +257,10 @@
         Arc::clone(&assignment.server)
     }
 
-    /// Logs what a server says about leaving in its response to this request.
-    pub fn record_leaving_notice(
-        &self,
-        server: &server::BackendServer,
-        notice: response::LeavingNotice,
-    ) {
-        self.state.metrics.record_leaving_notice(notice);
-        match notice {
-            response::LeavingNotice::Absent => {}
-            response::LeavingNotice::Leaving => {
-                self.log_event("server says that it is leaving", server, "stated in a response");
-            }
-            response::LeavingNotice::Malformed => {
-                let what = "malformed notice of a server's leaving ignored";
-                self.log_event(what, server, "stated in a response");
-            }
+    /// Takes back the attempt if the request was not sent, since the server had begun to leave.
+    fn uncount_unsent(&mut self, error: &attempt::AttemptError) {
+        if matches!(error, attempt::AttemptError::NoLongerAccepts) {
+            self.attempts = self.attempts.saturating_sub(1);
         }
     }
 
@@ -319,11 +309,21 @@
                 Self::give_up(execution, bad_gateway, Some(RETRY_SOON_MS), "all servers full")
             }
             (placement::Choice::NoServer, _) => {
-                Self::give_up(execution, bad_gateway, Some(RETRY_LATER_MS), "no server left")
+                let reason = self.reason_for_no_server();
+                Self::give_up(execution, bad_gateway, Some(RETRY_LATER_MS), reason)
             }
         }
     }
 
+    fn reason_for_no_server(&self) -> &'static str {
+        let has_ready_servers = !self.state.view().ready_servers_of(&self.service).is_empty();
+        if has_ready_servers && self.state.accepting_servers(&self.service).is_empty() {
+            "all servers are leaving"
+        } else {
+            "no server left"
+        }
+    }
+
     fn give_up(
         execution: execution::Status,
         status_if_unknown: hyper::StatusCode,
@@ -348,11 +348,10 @@
         placement_request: placement::Request<'_>,
         excluded: &collections::BTreeSet<name::ServerId>,
     ) -> (placement::Choice, Option<canary::Side>) {
-        let view = self.state.view();
-        let servers = view.ready_servers_of(&self.service);
+        let servers = self.state.accepting_servers(&self.service);
         let request = self.rollout_request();
         let rollouts = &self.state.rollouts;
-        let (servers, side) = rollouts.eligible_servers(&self.service, servers, request, now_ms);
+        let (servers, side) = rollouts.eligible_servers(&self.service, &servers, request, now_ms);
         let choice = self.state.placement().choose(
             placement_request,
             &servers,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod frame;
 mod head_limit;
 mod ingress;
+mod leaving;
 mod logging;
 mod metrics;
 mod peers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -118,6 +118,7 @@
     /// Records a failed attempt.
     pub fn record_attempt_error(&self, error: &attempt::AttemptError) {
         let reason = match error {
+            attempt::AttemptError::NoLongerAccepts => "leaving",
             attempt::AttemptError::Unreachable(_) => "unreachable",
             attempt::AttemptError::NotWritten => "not_written",
             attempt::AttemptError::Declined(_) => "declined",
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,13 +6,16 @@
 use std::net;
 use std::path;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic;
 use std::time;
 
 use rand::RngExt as _;
 use toucanwall_document::finding;
 use toucanwall_platform::settings as platform_settings;
+use toucanwall_policy::server_notices;
 use toucanwall_routing::host;
+use toucanwall_routing::name;
 use toucanwall_routing::settings;
 use toucanwall_routing::view;
 
@@ -111,6 +114,7 @@
     let metrics = Arc::new(metrics::Metrics::new());
     let rollouts = Arc::new(rollouts::Rollouts::new(settings.bounds));
     let crashes = Arc::new(crashes::Crashes::new());
+    let notices = Arc::new(Mutex::new(server_notices::ServerNotices::new()));
     let (views, view) = tokio::sync::watch::channel(Arc::new(view::View::default()));
     let address = settings.peer_address;
     let peer_listener = net::TcpListener::bind(address)
@@ -126,6 +130,7 @@
         host,
         clock,
         views,
+        notices: Arc::clone(&notices),
         rollouts: Arc::clone(&rollouts),
         crashes: Arc::clone(&crashes),
         metrics: Arc::clone(&metrics),
@@ -136,6 +141,7 @@
         Arc::clone(&settings),
         clock,
         view,
+        notices,
         rollouts,
         crashes,
         metrics,
@@ -244,7 +250,9 @@
         ticks.tick().await;
         state.pool.close_expired();
         let view = state.view();
-        state.placement().retain(|id| view.all_servers.contains_key(id));
+        let is_known = |id: &name::ServerId| view.all_servers.contains_key(id);
+        state.placement().retain(is_known);
+        state.notices().retain_known(is_known, state.clock.now_ms());
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,7 +10,9 @@
 use toucanwall_policy::forecast;
 use toucanwall_policy::placement;
 use toucanwall_policy::retry_quota;
+use toucanwall_policy::server_notices;
 use toucanwall_routing::name;
+use toucanwall_routing::server;
 use toucanwall_routing::settings;
 use toucanwall_routing::view;
 
@@ -36,6 +38,8 @@
     pub buffer_budget: response_buffer::BufferBudget,
     /// Load of the backend servers, as known to this host.
     pub placement: Mutex<placement::Placement>,
+    /// What the backend servers have said of themselves, shared with the control thread.
+    pub notices: Arc<Mutex<server_notices::ServerNotices>>,
     /// Roll-outs in progress.
     pub rollouts: Arc<rollouts::Rollouts>,
     /// Requests under which servers ended.
@@ -77,6 +81,7 @@
         settings: Arc<settings::Settings>,
         clock: clock::Clock,
         view: tokio::sync::watch::Receiver<Arc<view::View>>,
+        notices: Arc<Mutex<server_notices::ServerNotices>>,
         rollouts: Arc<rollouts::Rollouts>,
         crashes: Arc<crashes::Crashes>,
         metrics: Arc<metrics::Metrics>,
@@ -88,6 +93,7 @@
             pool: Arc::new(pool::Pool::default()),
             buffer_budget: response_buffer::BufferBudget::default(),
             placement: Mutex::new(placement::Placement::new()),
+            notices,
             rollouts,
             crashes,
             metrics,
@@ -109,6 +115,37 @@
         self.placement.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what the backend servers have said of themselves.
+    pub fn notices(&self) -> MutexGuard<'_, server_notices::ServerNotices> {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The servers of a service that accept new requests now.
+    #[must_use]
+    pub fn accepting_servers(
+        &self,
+        service: &name::ServiceName,
+    ) -> Vec<Arc<server::BackendServer>> {
+        let view = self.view();
+        let notices = self.notices();
+        let accepts = |server: &&Arc<server::BackendServer>| {
+            notices.acceptance(server) == server_notices::Acceptance::Accepts
+        };
+        view.ready_servers_of(service).iter().filter(accepts).cloned().collect()
+    }
+
+    /// Whether a server that was chosen earlier still accepts new requests.
+    #[must_use]
+    pub fn still_accepts(&self, server: &server::BackendServer) -> bool {
+        let view = self.view();
+        let known = view.all_servers.get(&server.id);
+        known.is_some_and(|known| {
+            known.address == server.address
+                && known.started_unix_ms == server.started_unix_ms
+                && self.notices().acceptance(known) == server_notices::Acceptance::Accepts
+        })
+    }
+
     /// Counts a request of a service towards its retry budget.
     pub fn record_request(&self, service: &name::ServiceName) {
         let hosts = self.view().serving_host_count();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod retry;
 pub mod retry_quota;
 pub mod sequential_test;
+pub mod server_notices;
 pub mod version_choice;
 pub mod window;
