Let a host that is cut off from all others remove no entries

In a deployment of more than seven hosts, a host that reached no other one removed the entries of up to 64 hosts that were well: hosts that it had just pinged for the first time counted as answering, so it did not take itself for isolated. Callers were then sent to fewer hosts until these registered again.

Only a host that has answered before shows that this one is not isolated.

--- a/crates/policy/src/host_monitor.rs
+++ b/crates/policy/src/host_monitor.rs
@@ -50,6 +50,8 @@
     rounds_unregistered: Option<u32>,
     /// Whether a ping is unanswered.
     is_pending: bool,
+    /// Whether it has ever answered.
+    has_answered: bool,
     /// Unanswered pings since the last answer.
     misses: u32,
     /// Unanswered pings since the last answer, the last removal or the last registration.
@@ -150,11 +152,12 @@
         silent.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Whether no watched host answers, so that this host may itself be cut off from all others.
+    /// Whether no watched host answers, so that this host may itself be cut off from all others. One
+    /// that has only just been pinged for the first time is no evidence.
     #[must_use]
     pub fn is_isolated(&self) -> bool {
         let mut registered = self.watched.values().filter(|it| it.rounds_unregistered.is_none());
-        !registered.any(|watched| !watched.is_silent())
+        !registered.any(|watched| watched.has_answered && !watched.is_silent())
     }
 
     /// Hosts whose entries this host has to remove now. A host whose entry stays, or comes back, is
@@ -208,6 +211,7 @@
             host,
             rounds_unregistered: None,
             is_pending: false,
+            has_answered: false,
             misses: 0,
             misses_while_registered: 0,
             misses_to_removal: MISSES_TO_SILENCE,
@@ -231,6 +235,7 @@
 
     fn record_answer(&mut self) {
         self.is_pending = false;
+        self.has_answered = true;
         self.misses = 0;
         self.misses_while_registered = 0;
         self.misses_to_removal = MISSES_TO_SILENCE;
--- a/crates/policy/tests/host_monitor.rs
+++ b/crates/policy/tests/host_monitor.rs
@@ -154,15 +154,19 @@
 }
 
 #[rstest]
-fn host_that_reaches_no_other_removes_no_entry() {
+#[case::six(6)]
+#[case::thirty(30)]
+#[case::three_hundred(300)]
+fn host_that_reaches_no_other_removes_no_entry(#[case] hosts: u64) {
     let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(0);
-    let mut deployment = Deployment::start(6);
+    let mut deployment = Deployment::start(hosts);
     deployment.run(CONTACT_MS, 0, &mut rng);
-    deployment.cut = (1..6).map(|other| (0, other)).collect();
+    deployment.cut = (1..hosts).map(|other| (0, other)).collect();
     deployment.run(10 * CONTACT_MS, 0, &mut rng);
     assert_eq!(deployment.removals, 0);
     assert!(deployment.monitors[&0].is_isolated());
-    assert_eq!(deployment.monitors[&0].silent_hosts().len(), 5);
+    let silent = deployment.monitors[&0].silent_hosts().len();
+    assert_eq!(silent, usize::try_from(hosts - 1).unwrap_or(usize::MAX).min(64));
 }
 
 #[rstest]
