Complete a roll-out only on evidence that the new version is not slow

- A request that has waited for its first byte for longer than the old version takes counts as late at once, and one that is given up counts with what it has shown.
Those of the old version count alike, so that callers who leave early are no evidence against the new one.
- A version is completed only if its answers make a fault several times less likely than none, on failures, stalls and slowness.
Hosts that know too little leave the step to others, relays first, and revert shortly before the end.
- Sessions use in the second half what requests without one have used before it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::leaving;
 use crate::pool;
 use crate::response_buffer;
+use crate::rollouts;
 use crate::state;
 
 /// Time after the first byte of a response in which a request counts as just started, in
@@ -134,6 +135,8 @@
     /// Times between the first events of a stream, in milliseconds.
     event_intervals_ms: Vec<u64>,
     is_rollout_answer_recorded: bool,
+    /// Id of the request if its first byte is awaited as evidence on a new version.
+    open_attempt: Option<rollouts::AttemptId>,
     outcome: Option<placement::Outcome>,
 }
 
@@ -255,6 +258,8 @@
         let sent_at_ms = state.clock.now_ms();
         let request = exchange.placement_request();
         state.placement().record_start(&server.id, request, sent_at_ms);
+        let open_attempt =
+            state.rollouts.begin_attempt(&server.service, side, exchange.kind(), sent_at_ms);
         Self {
             state,
             server,
@@ -271,6 +276,7 @@
             last_event: None,
             event_intervals_ms: Vec::new(),
             is_rollout_answer_recorded: false,
+            open_attempt,
             outcome: None,
         }
     }
@@ -286,6 +292,7 @@
         if self.first_byte_at_ms.is_none() {
             let now_ms = self.state.clock.now_ms();
             self.first_byte_at_ms = Some(now_ms);
+            self.end_wait_for_first_byte();
             self.state.placement().record_first_byte(&self.server.id, self.prompt_units);
             let first_byte_ms = now_ms.saturating_sub(self.sent_at_ms);
             self.state.metrics.record_first_byte(first_byte_ms);
@@ -299,6 +306,27 @@
         }
     }
 
+    /// Ends the wait for the first byte. A request that has been counted as late is not counted again.
+    fn end_wait_for_first_byte(&mut self) {
+        if let Some(id) = self.open_attempt.take() {
+            let is_counted = self.state.rollouts.end_attempt(&self.server.service, id);
+            self.is_rollout_answer_recorded |= is_counted;
+        }
+    }
+
+    /// Records what a request that is given up has shown of its server's version until now.
+    fn record_given_up(&mut self) {
+        let now_ms = self.state.clock.now_ms();
+        self.end_wait_for_first_byte();
+        if self.first_byte_at_ms.is_some() {
+            self.record_rollout_answer();
+        } else if !std::mem::replace(&mut self.is_rollout_answer_recorded, true) {
+            let waited_ms = now_ms.saturating_sub(self.sent_at_ms);
+            let (service, side) = (&self.server.service, self.side);
+            self.state.rollouts.record_given_up(service, side, self.kind, waited_ms, now_ms);
+        }
+    }
+
     /// Records that the events of a stream up to a number have arrived.
     pub fn record_events(&mut self, last_event_id: u64) {
         if self.is_rollout_answer_recorded {
@@ -410,6 +438,10 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let now_ms = self.state.clock.now_ms();
+        match self.outcome {
+            None | Some(placement::Outcome::Cancelled) => self.record_given_up(),
+            Some(_) => self.end_wait_for_first_byte(),
+        }
         let mut placement = self.state.placement();
         if self.first_byte_at_ms.is_none() {
             placement.record_first_byte(&self.server.id, self.prompt_units);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -12,6 +12,7 @@
 use toucanwall_platform::operator;
 use toucanwall_platform::registration;
 use toucanwall_policy::canary;
+use toucanwall_policy::relay as policy_relay;
 use toucanwall_policy::server_notices;
 use toucanwall_routing::host;
 use toucanwall_routing::local_state;
@@ -509,6 +510,7 @@
         self.check_registration(now_ms);
         self.remove_lost_hosts(now_ms);
         self.write_crash_reports(now_ms);
+        self.inputs.rollouts.count_overdue(now_ms);
         self.peers.send_rollout_reports();
         let expired = self.local_state.tick(now_ms);
         if !expired.is_empty() {
@@ -519,7 +521,10 @@
         let view = Arc::clone(&self.inputs.views.borrow());
         let own_name = &self.inputs.settings.host;
         let delay = |rollout: &rollout::Rollout| {
-            canary::StepDelay::of_rank(view.rank_of(own_name, rollout.order_revision))
+            // Relays hear of more answers than other hosts.
+            let relays = policy_relay::relays(view.serving_hosts());
+            let rank = view.rank_among(own_name, rollout.order_revision, &relays);
+            canary::StepDelay::of_rank(rank)
         };
         for update in self.inputs.rollouts.pending_updates(self.inputs.clock.now(), delay) {
             if self.was_written_recently(&update.rollout) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -372,6 +372,8 @@
             Err((error, proof)) => return (AttemptOutcome::Failed(error, proof), None),
         };
         if let Some(model) = self.escalation_target(&opened.head) {
+            let mut opened = opened;
+            opened.in_flight.record_first_byte();
             return (AttemptOutcome::Escalate(model), None);
         }
         if opened.head.status.is_success() && stream::is_event_stream(&opened.parts) {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -29,6 +30,19 @@
     tracked: Mutex<collections::BTreeMap<name::ServiceName, TrackedRollout>>,
     /// How the version in use has answered, by service.
     histories: Mutex<collections::BTreeMap<name::ServiceName, canary::History>>,
+    next_attempt: atomic::AtomicU64,
+}
+
+/// Identifies a request that was sent to a target version.
+pub type AttemptId = u64;
+
+/// A request that was sent to a target version and has had no first byte.
+#[derive(Debug, Clone, Copy)]
+struct OpenAttempt {
+    kind: canary::Kind,
+    sent_ms: u64,
+    /// Whether it has been counted as late.
+    is_counted: bool,
 }
 
 /// A roll-out together with its canary evaluation.
@@ -36,6 +50,7 @@
 struct TrackedRollout {
     rollout: Arc<rollout::Rollout>,
     canary: canary::Canary,
+    open_attempts: collections::BTreeMap<AttemptId, OpenAttempt>,
     /// Evidence that other hosts reported, by host.
     peers: collections::BTreeMap<name::HostName, PeerEvidence>,
 }
@@ -80,6 +95,9 @@
     /// Number of slow responses among those.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub slow: u64,
+    /// Number of responses of which any time could be compared with the previous version.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub timed: u64,
     /// Number of responses among the slow ones that were several times as slow.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub stalled: u64,
@@ -105,6 +123,7 @@
             bounds,
             tracked: Mutex::new(collections::BTreeMap::new()),
             histories: Mutex::new(collections::BTreeMap::new()),
+            next_attempt: atomic::AtomicU64::new(0),
         }
     }
 
@@ -136,9 +155,13 @@
             let since_start_ms = since_start_ms(rollout, now.unix_ms);
             let history = lock(&self.histories).get(service).cloned().unwrap_or_default();
             let canary = canary::Canary::new(plan, history, since_start_ms, now.monotonic_ms);
-            let peers = collections::BTreeMap::new();
-            let rollout = Arc::clone(rollout);
-            tracked.insert(service.clone(), TrackedRollout { rollout, canary, peers });
+            let new = TrackedRollout {
+                rollout: Arc::clone(rollout),
+                canary,
+                open_attempts: collections::BTreeMap::new(),
+                peers: collections::BTreeMap::new(),
+            };
+            tracked.insert(service.clone(), new);
         }
     }
 
@@ -183,11 +206,7 @@
     ) {
         let mut tracked = self.lock();
         let tracked = tracked.get_mut(service);
-        let is_in_use = match (side, tracked.as_ref().map(|tracked| tracked.rollout.state)) {
-            (Some(canary::Side::Target), Some(state)) => state == rollout::State::Completed,
-            _ => true,
-        };
-        if is_in_use {
+        if is_in_use(side, tracked.as_deref()) {
             lock(&self.histories).entry(service.clone()).or_default().record(kind.timing, answer);
         }
         if let (Some(tracked), Some(side)) = (tracked, side) {
@@ -195,6 +214,73 @@
         }
     }
 
+    /// Records that a request is sent to one side of a roll-out; returns its id if its first byte is
+    /// awaited as evidence.
+    #[must_use]
+    pub fn begin_attempt(
+        &self,
+        service: &name::ServiceName,
+        side: Option<canary::Side>,
+        kind: canary::Kind,
+        now_ms: u64,
+    ) -> Option<AttemptId> {
+        let mut tracked = self.lock();
+        let tracked = tracked.get_mut(service).filter(|it| !it.rollout.state.is_final())?;
+        if side != Some(canary::Side::Target) {
+            return None;
+        }
+        let id = self.next_attempt.fetch_add(1, atomic::Ordering::Relaxed);
+        let attempt = OpenAttempt { kind, sent_ms: now_ms, is_counted: false };
+        tracked.open_attempts.insert(id, attempt);
+        Some(id)
+    }
+
+    /// Records that the first byte of a request has arrived, or that it has failed; returns whether
+    /// the request has been counted as late before.
+    pub fn end_attempt(&self, service: &name::ServiceName, id: AttemptId) -> bool {
+        let mut tracked = self.lock();
+        let attempt = tracked.get_mut(service).and_then(|it| it.open_attempts.remove(&id));
+        attempt.is_some_and(|attempt| attempt.is_counted)
+    }
+
+    /// Records that a request was given up after it had waited for its first byte for `waited_ms`.
+    pub fn record_given_up(
+        &self,
+        service: &name::ServiceName,
+        side: Option<canary::Side>,
+        kind: canary::Kind,
+        waited_ms: u64,
+        now_ms: u64,
+    ) {
+        let mut tracked = self.lock();
+        let tracked = tracked.get_mut(service);
+        if is_in_use(side, tracked.as_deref())
+            && let Some(history) = lock(&self.histories).get_mut(service)
+        {
+            history.record_given_up(kind.timing, waited_ms);
+        }
+        match (tracked, side) {
+            (Some(tracked), Some(canary::Side::Target)) => {
+                tracked.canary.record_waiting(kind, waited_ms, now_ms);
+            }
+            (Some(tracked), Some(canary::Side::Baseline)) => {
+                tracked.canary.record_given_up_by_baseline(kind, waited_ms);
+            }
+            (_, None) | (None, _) => {}
+        }
+    }
+
+    /// Counts the requests that have waited for their first byte for longer than the previous version
+    /// takes.
+    pub fn count_overdue(&self, now_ms: u64) {
+        for tracked in self.lock().values_mut() {
+            for attempt in tracked.open_attempts.values_mut().filter(|it| !it.is_counted) {
+                let waited_ms = now_ms.saturating_sub(attempt.sent_ms);
+                attempt.is_counted = tracked.canary.record_waiting(attempt.kind, waited_ms, now_ms);
+            }
+        }
+    }
+
     /// All responses of target versions that this host has observed so far.
     #[must_use]
     pub fn own_reports(&self) -> Vec<Report> {
@@ -246,6 +332,7 @@
             && report.routes.iter().all(|(_, answers, bad)| bad <= answers)
             && report.routes.iter().all(|(_, answers, _)| *answers <= report.answers)
             && report.compared <= report.answers
+            && report.timed <= report.answers
             && report.answers <= MAX_REPORTED_ANSWERS;
         let mut tracked = self.lock();
         let matching = tracked
@@ -273,7 +360,8 @@
         F: Fn(&rollout::Rollout) -> canary::StepDelay,
     {
         let tracked = self.lock();
-        let updates = tracked.values().filter_map(|tracked| {
+        let open = tracked.values().filter(|tracked| !tracked.rollout.state.is_final());
+        let updates = open.filter_map(|tracked| {
             let state = match tracked.canary.next_action(
                 tracked.rollout.state,
                 now.monotonic_ms,
@@ -287,14 +375,15 @@
             let (baseline, target) = tracked.canary.evidence();
             let evidence = format!(
                 "bad responses: {} of {} from the previous version, {} of {} from the target version; \
-                 slow: {} of {}, of these stalled: {}",
+                 slow: {} of {}, of these stalled: {}; {} with a time to compare",
                 baseline.bad,
                 baseline.answers,
                 target.answers.bad,
                 target.answers.answers,
                 target.speeds.bad,
                 target.speeds.answers,
-                target.stalled
+                target.stalled,
+                target.timed
             );
             let elapsed_ms = tracked.canary.elapsed_ms(now.monotonic_ms);
             let started_unix_ms =
@@ -310,6 +399,14 @@
     }
 }
 
+/// Whether the answers of a side are those of the version in use.
+fn is_in_use(side: Option<canary::Side>, tracked: Option<&TrackedRollout>) -> bool {
+    match (side, tracked.map(|tracked| tracked.rollout.state)) {
+        (Some(canary::Side::Target), Some(state)) => state == rollout::State::Completed,
+        _ => true,
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -328,6 +425,7 @@
             bad: observations.answers.bad,
             compared: observations.speeds.answers,
             slow: observations.speeds.bad,
+            timed: observations.timed,
             stalled: observations.stalled,
             routes: routes.map(|(route, count)| (*route, count.answers, count.bad)).collect(),
         }
@@ -338,6 +436,7 @@
             answers: sequential::Evidence { answers: self.answers, bad: self.bad },
             speeds: sequential::Evidence { answers: self.compared, bad: self.slow },
             stalled: self.stalled,
+            timed: self.timed,
             routes: self
                 .routes
                 .iter()
@@ -371,6 +470,7 @@
             answers: difference(latest.answers, self.counted.answers),
             speeds,
             stalled: latest.stalled.saturating_sub(self.counted.stalled).min(speeds.answers),
+            timed: latest.timed.saturating_sub(self.counted.timed),
             routes: routes.collect(),
         };
         self.counted.merge(&uncounted);
--- a/crates/policy/src/canary/evidence.rs
+++ b/crates/policy/src/canary/evidence.rs
@@ -28,6 +28,8 @@
     pub speeds: sequential::Evidence,
     /// Number of the slow answers that were stalled.
     pub stalled: u64,
+    /// Number of answers of which any time could be compared with the old version.
+    pub timed: u64,
     /// The part of `answers` that belongs to each route.
     pub routes: collections::BTreeMap<u64, sequential::Evidence>,
 }
@@ -43,6 +45,7 @@
         self.answers.merge(other.answers);
         self.speeds.merge(other.speeds);
         self.stalled += other.stalled;
+        self.timed += other.timed;
         for (route, answers) in &other.routes {
             self.routes.entry(*route).or_default().merge(*answers);
         }
@@ -76,11 +79,23 @@
     (baseline_rate + ACCEPTED_EXCESS).clamp(MIN_RATE, MAX_RATE - REJECTED_EXCESS)
 }
 
+/// The logarithm of the likelihood ratio of a fault that must lead to a revert to none.
+pub fn weight_of_fault(evidence: sequential::Evidence, accepted_rate: f64) -> f64 {
+    log_likelihood_ratio(evidence, accepted_rate, accepted_rate + REJECTED_EXCESS)
+}
+
 /// The logarithm of the likelihood ratio of a slight fault to none.
 pub fn weight_of_slight_fault(evidence: sequential::Evidence, accepted_rate: f64) -> f64 {
+    log_likelihood_ratio(evidence, accepted_rate, accepted_rate + SLIGHT_EXCESS)
+}
+
+fn log_likelihood_ratio(
+    evidence: sequential::Evidence,
+    accepted_rate: f64,
+    rejected_rate: f64,
+) -> f64 {
     let bad = number::saturating_f64(evidence.bad);
-    let good = number::saturating_f64(evidence.answers - evidence.bad);
-    let rejected_rate = accepted_rate + SLIGHT_EXCESS;
+    let good = number::saturating_f64(evidence.answers.saturating_sub(evidence.bad));
     bad * (rejected_rate / accepted_rate).ln()
         + good * ((1.0 - rejected_rate) / (1.0 - accepted_rate)).ln()
 }
--- a/crates/policy/src/canary/history.rs
+++ b/crates/policy/src/canary/history.rs
@@ -75,6 +75,23 @@
         }
     }
 
+    /// Records that a request was given up after it had waited for the first byte for this time. One
+    /// that was given up early says nothing about the server.
+    pub fn record_given_up(&mut self, kind: u64, waited_ms: u64) {
+        if self.is_overdue(kind, waited_ms)
+            && let Some(samples) = self.first_bytes_ms.get_mut(&kind)
+        {
+            samples.record(Some(waited_ms));
+        }
+    }
+
+    /// Whether a request that has had no first byte for this time is late already, compared with
+    /// those of the old version.
+    pub(super) fn is_overdue(&self, kind: u64, waited_ms: u64) -> bool {
+        let speed = self.compare_first_byte(kind, Some(waited_ms));
+        speed.is_some_and(|speed| speed != Speed::Normal)
+    }
+
     /// The samples whose speed later answers are compared with, and those of them that were stalled.
     pub(super) fn stalls(&self) -> sequential::Evidence {
         let is_plain = |kind: &u64| !self.event_intervals_ms.contains_key(kind);
--- a/crates/policy/src/canary/mod.rs
+++ b/crates/policy/src/canary/mod.rs
@@ -42,6 +42,12 @@
 /// Evidence by which that of a single route must exceed the thresholds: each route is a further
 /// chance to err.
 const ROUTE_PENALTY: f64 = 0.5;
+/// Answers whose times could be compared that a version needs to be completed: one that is several
+/// times as slow for half of its answers shows no slow one among so many once in 128 times.
+const MIN_TIMED_ANSWERS: u64 = 7;
+/// Evidence that a version neither fails nor is slow at which it is completed, as the logarithm of
+/// the likelihood ratio of good to bad.
+const PROOF_THRESHOLD: f64 = 2.3;
 /// Maximum number of routes whose answers are kept apart.
 const MAX_ROUTES: usize = 32;
 /// Rate of slow answers that is accepted: those of a version that is as fast as the old one exceed
@@ -244,7 +250,9 @@
                 observed.answers.add(is_bad);
                 observed.routes.entry(kind.route).or_default().add(is_bad);
                 let answer = Answer { first_byte_ms, ..answer };
-                if let Some(speed) = self.history.compare_speed(kind.timing, answer) {
+                let speed = self.history.compare_speed(kind.timing, answer);
+                observed.timed = u64::from(first_byte.is_some() || speed.is_some());
+                if let Some(speed) = speed {
                     observed.speeds.add(speed != history::Speed::Normal);
                     observed.stalled += u64::from(speed == history::Speed::Stalled);
                 }
@@ -255,6 +263,27 @@
         }
     }
 
+    /// Records a request that has had no first byte for `waited_ms`, while it is still open or when it
+    /// is given up; returns whether it counts as an answer of the new version. One that has already
+    /// waited longer than the old version takes counts as late without waiting for its end: a slow
+    /// version would otherwise be judged by its fast answers alone.
+    pub fn record_waiting(&mut self, kind: Kind, waited_ms: u64, now_ms: u64) -> bool {
+        let sent_ms = now_ms.saturating_sub(waited_ms);
+        let had_warm_servers = self.elapsed_ms(sent_ms) < self.schedule().cutover_ms();
+        let counts = had_warm_servers && self.history.is_overdue(kind.timing, waited_ms);
+        if counts {
+            let first_byte_ms = Some(waited_ms);
+            let answer = Answer { first_byte_ms, has_timed_out: true, ..Answer::default() };
+            self.record_answer(Side::Target, kind, answer, now_ms);
+        }
+        counts
+    }
+
+    /// Records that a request to the old version was given up without a first byte.
+    pub fn record_given_up_by_baseline(&mut self, kind: Kind, waited_ms: u64) {
+        self.history.record_given_up(kind.timing, waited_ms);
+    }
+
     /// All that this host has observed of the new version itself.
     #[must_use]
     pub fn own_observations(&self) -> &Observations {
@@ -298,11 +327,14 @@
             return Action::Wait;
         }
         let elapsed_ms = self.elapsed_ms(now_ms).saturating_sub(delay.complete_ms);
-        let complete_ms = self.schedule().complete_ms();
+        let is_due = elapsed_ms >= self.schedule().complete_ms();
         match state {
             _ if self.is_bad => Action::Revert,
-            _ if elapsed_ms >= complete_ms && self.is_doubtful() => Action::Revert,
-            _ if elapsed_ms >= complete_ms => Action::Complete,
+            _ if is_due && self.is_doubtful() => Action::Revert,
+            _ if is_due && self.is_known() => Action::Complete,
+            // In a large deployment most hosts hear of few answers, and one that has heard of more
+            // completes the roll-out.
+            _ if elapsed_ms >= self.schedule().give_up_ms() => Action::Revert,
             rollout::State::Ordered if self.elapsed_ms(now_ms) >= delay.start_ms => {
                 Action::MarkStarted
             }
@@ -310,6 +342,24 @@
         }
     }
 
+    /// Whether the answers so far suffice to tell a slow version from a good one.
+    fn is_known(&self) -> bool {
+        let answers = evidence::weight_of_fault(
+            self.target.answers,
+            evidence::accepted_rate(self.history.answers),
+        );
+        let stalls = evidence::weight_of_fault(
+            sequential::Evidence { bad: self.target.stalled, ..self.target.speeds },
+            evidence::accepted_rate(self.history.stalls()),
+        );
+        // The servers of the new version have less load than those of the old one, so that a slow
+        // version seems less slow than it is.
+        let slowness = evidence::weight_of_fault(self.target.speeds, ACCEPTED_SLOW_RATE);
+        self.target.timed >= MIN_TIMED_ANSWERS
+            && answers.max(stalls) <= -PROOF_THRESHOLD
+            && slowness <= 0.0
+    }
+
     /// Whether the answers so far leave a doubt, also of a slight fault: those that are spread over
     /// the whole roll-out never reach the cumulative sums' threshold.
     fn is_doubtful(&self) -> bool {
--- a/crates/policy/src/canary/schedule.rs
+++ b/crates/policy/src/canary/schedule.rs
@@ -30,6 +30,10 @@
 /// Part of the time from the cutover to the end that may be left at the completion, in percent.
 const COMPLETE_AFTER_CUTOVER_PERCENT: u64 = 90;
 
+/// Time before the end at which a version of which too little is known is given up, in milliseconds.
+/// Until then, hosts that know more may complete the roll-out.
+const GIVE_UP_BEFORE_END_MS: u64 = 300;
+
 /// The schedule of a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Schedule {
@@ -48,9 +52,10 @@
         }
         let early_fraction = self.exposure_fraction * EARLY_FRACTION;
         if elapsed_ms >= session_phase_end_ms {
-            let exposed_ms = EXPOSURE_BEFORE_CUTOVER
-                * self.exposure_fraction
-                * number::saturating_f64(self.duration_ms);
+            // Sessions use in this phase what requests without one have used before it.
+            let exposure = EXPOSURE_BEFORE_CUTOVER + if has_session { EARLY_FRACTION } else { 0.0 };
+            let exposed_ms =
+                exposure * self.exposure_fraction * number::saturating_f64(self.duration_ms);
             let length_ms = number::saturating_f64(
                 self.cutover_ms().saturating_sub(session_phase_end_ms).max(1),
             );
@@ -69,6 +74,12 @@
         self.duration_ms.saturating_sub(lead_ms)
     }
 
+    /// Time from the start of the roll-out at which it is reverted if too little is known of the new
+    /// version, in milliseconds.
+    pub fn give_up_ms(&self) -> u64 {
+        self.duration_ms.saturating_sub(GIVE_UP_BEFORE_END_MS).max(self.complete_ms())
+    }
+
     /// Time from the start of the roll-out to its completion, in milliseconds.
     pub fn complete_ms(&self) -> u64 {
         let after_cutover_ms = self.duration_ms - self.cutover_ms();
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -7,9 +7,11 @@
 //! its subscribers as if they watched the store themselves.
 
 use std::cmp;
+use std::collections;
 use std::sync::Arc;
 
 use toucanwall_routing::host;
+use toucanwall_routing::name;
 
 /// Minimum number of relays in a data centre: one may fail.
 const MIN_RELAYS: usize = 2;
@@ -64,10 +66,8 @@
     let others = hosts.into_iter().filter(|host| host.name != own_host.name);
     let mut ranked: Vec<_> =
         others.filter(|host| host.data_centre == own_host.data_centre).chain([own_host]).collect();
-    ranked.sort_by_key(|host| {
-        (cmp::Reverse(host.cpu_millicores), hash(host.name.as_str(), 0), &host.name)
-    });
-    let relays = MIN_RELAYS.max(ranked.len().div_ceil(HOSTS_PER_RELAY));
+    ranked.sort_by_key(|host| relay_order(host));
+    let relays = relay_count(ranked.len());
     let preferred = ranked.iter().take_while(|host| host.name != own_host.name);
     let mut candidates: Vec<_> =
         preferred.take(relays + STANDBY_RELAYS).map(|host| Arc::clone(host)).collect();
@@ -80,6 +80,34 @@
     Role::Subscriber(candidates)
 }
 
+/// The names of the relays of all data centres.
+#[must_use]
+pub fn relays<'a, H>(hosts: H) -> collections::BTreeSet<&'a name::HostName>
+where
+    H: IntoIterator<Item = &'a Arc<host::HostEntry>>,
+{
+    let mut data_centres: collections::BTreeMap<&name::DataCentre, Vec<&Arc<host::HostEntry>>> =
+        collections::BTreeMap::new();
+    for host in hosts {
+        data_centres.entry(&host.data_centre).or_default().push(host);
+    }
+    let relays = data_centres.into_values().flat_map(|mut hosts| {
+        hosts.sort_by_key(|host| relay_order(host));
+        let count = relay_count(hosts.len());
+        hosts.into_iter().take(count).map(|host| &host.name)
+    });
+    relays.collect()
+}
+
+/// The order in which hosts of a data centre become relays.
+fn relay_order(host: &host::HostEntry) -> (cmp::Reverse<u64>, u64, &name::HostName) {
+    (cmp::Reverse(host.cpu_millicores), hash(host.name.as_str(), 0), &host.name)
+}
+
+fn relay_count(hosts: usize) -> usize {
+    MIN_RELAYS.max(hosts.div_ceil(HOSTS_PER_RELAY))
+}
+
 /// What a host knows about the relay that it subscribes to.
 #[derive(Debug, Clone, Copy)]
 pub struct RelayHealth {
--- a/crates/policy/tests/canary.rs
+++ b/crates/policy/tests/canary.rs
@@ -355,9 +355,86 @@
     assert_eq!(canary.next_action(state, 24_000, NO_DELAY), canary::Action::Complete);
 }
 
+/// Records answers of the old version that take 50 to 150 ms.
+fn record_baseline(canary: &mut canary::Canary) {
+    for number in 0..40 {
+        let usual = answer(false, Some(50 + number * 37 % 100));
+        canary.record_answer(canary::Side::Baseline, REQUEST_KIND, usual, 5_000);
+    }
+}
+
+/// Requests that a slow version has not answered yet show nothing if only ended ones count.
+#[rstest]
+fn open_requests_give_a_slow_version_away() {
+    let mut canary = canary(6);
+    record_baseline(&mut canary);
+    for _ in 0..3 {
+        canary.record_answer(canary::Side::Target, REQUEST_KIND, answer(false, Some(90)), 14_000);
+    }
+    for _ in 0..8 {
+        assert!(!canary.record_waiting(REQUEST_KIND, 100, 14_100), "not late yet");
+        assert!(canary.record_waiting(REQUEST_KIND, 2_000, 16_000), "late");
+    }
+    let action = canary.next_action(rollout::State::InProgress, 16_000, NO_DELAY);
+    assert_eq!(action, canary::Action::Revert);
+}
+
+/// After the cutover engines read prompts that they have not cached.
+#[rstest]
+fn requests_that_wait_after_the_cutover_are_no_evidence() {
+    let mut canary = canary(6);
+    record_baseline(&mut canary);
+    assert!(!canary.record_waiting(REQUEST_KIND, 600, 24_500));
+    assert!(canary.record_waiting(REQUEST_KIND, 3_000, 24_500), "sent before the cutover");
+}
+
+/// On some routes callers leave before any version answers.
+#[rstest]
+fn requests_that_callers_give_up_early_are_no_evidence() {
+    const IMPATIENCE_MS: u64 = 1_000;
+    let mut canary = canary(6);
+    record_baseline(&mut canary);
+    for _ in 0..20 {
+        canary.record_given_up_by_baseline(REQUEST_KIND, IMPATIENCE_MS);
+    }
+    for _ in 0..20 {
+        assert!(!canary.record_waiting(REQUEST_KIND, IMPATIENCE_MS, 14_000));
+    }
+    let action = canary.next_action(rollout::State::InProgress, 14_000, NO_DELAY);
+    assert_eq!(action, canary::Action::Wait);
+}
+
+#[rstest]
+#[case::none(0, canary::Action::Wait, canary::Action::Revert)]
+#[case::few(3, canary::Action::Wait, canary::Action::Revert)]
+#[case::enough(10, canary::Action::Complete, canary::Action::Complete)]
+fn version_with_few_comparable_answers_is_not_completed(
+    #[case] answers: usize,
+    #[case] expected: canary::Action,
+    #[case] expected_at_the_end: canary::Action,
+) {
+    let mut canary = canary(6);
+    record_baseline(&mut canary);
+    for _ in 0..answers {
+        canary.record_answer(canary::Side::Target, REQUEST_KIND, answer(false, Some(90)), 14_000);
+    }
+    // The times of another kind of request cannot be compared with anything.
+    let other_kind = canary::Kind { route: 2, timing: 2 };
+    for _ in 0..20 {
+        canary.record_answer(canary::Side::Target, other_kind, answer(false, Some(90)), 14_000);
+    }
+    let state = rollout::State::InProgress;
+    assert_eq!(canary.next_action(state, 24_000, NO_DELAY), expected);
+    assert_eq!(canary.next_action(state, 24_800, NO_DELAY), expected_at_the_end);
+}
+
 #[rstest]
 fn roll_out_is_started_and_completed_in_time() {
-    let canary = canary(6);
+    let mut canary = canary(6);
+    record_baseline(&mut canary);
+    for _ in 0..20 {
+        canary.record_answer(canary::Side::Target, REQUEST_KIND, answer(false, Some(90)), 14_000);
+    }
     assert_eq!(
         canary.next_action(rollout::State::Ordered, 1_000, NO_DELAY),
         canary::Action::MarkStarted
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -76,8 +76,20 @@
     /// The rank of a host among the serving hosts for a key, by rendezvous hashing; 0 is the first.
     #[must_use]
     pub fn rank_of(&self, host: &name::HostName, key: u64) -> u64 {
+        self.rank_among(host, key, &collections::BTreeSet::new())
+    }
+
+    /// Like [`rank_of`](Self::rank_of), with the `preferred` hosts before all others.
+    #[must_use]
+    pub fn rank_among(
+        &self,
+        host: &name::HostName,
+        key: u64,
+        preferred: &collections::BTreeSet<&name::HostName>,
+    ) -> u64 {
         let weight = |name: &name::HostName| {
-            xxhash_rust::xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), key)
+            let hash = xxhash_rust::xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), key);
+            (preferred.contains(name), hash)
         };
         let own = weight(host);
         let preceding =
