--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -47,8 +47,8 @@
 #[derive(Debug)]
 #[derive(thiserror::Error)]
 pub enum AttemptError {
-    /// The server was chosen, and no longer accepts requests.
-    #[error("server is leaving")]
+    /// The server has begun to leave since it was chosen; the request was not sent.
+    #[error("server no longer accepts requests")]
     NoLongerAccepts,
     /// The connection to the server could not be established.
     #[error("cannot connect to the server: {0}")]
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -257,7 +257,7 @@
         Arc::clone(&assignment.server)
     }
 
-    /// Takes back the attempt if the request was not sent, since the server had begun to leave.
+    /// Does not count an attempt whose request was not sent because the server had begun to leave.
     fn uncount_unsent(&mut self, error: &attempt::AttemptError) {
         if matches!(error, attempt::AttemptError::NoLongerAccepts) {
             self.attempts = self.attempts.saturating_sub(1);
@@ -367,12 +367,11 @@
         &self,
         assignment: Assignment,
     ) -> (AttemptOutcome, Option<hyper::Response<bytes::Bytes>>) {
-        let opened = match attempt::send(self, assignment, self.response_timeout()).await {
+        let mut opened = match attempt::send(self, assignment, self.response_timeout()).await {
             Ok(opened) => opened,
             Err((error, proof)) => return (AttemptOutcome::Failed(error, proof), None),
         };
         if let Some(model) = self.escalation_target(&opened.head) {
-            let mut opened = opened;
             opened.in_flight.record_first_byte();
             return (AttemptOutcome::Escalate(model), None);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -39,7 +39,7 @@
     /// Load of the backend servers, as known to this host.
     pub placement: Mutex<placement::Placement>,
     /// What the backend servers have said of themselves, shared with the control thread.
-    pub notices: Arc<Mutex<server_notices::ServerNotices>>,
+    notices: Arc<Mutex<server_notices::ServerNotices>>,
     /// Roll-outs in progress.
     pub rollouts: Arc<rollouts::Rollouts>,
     /// Requests under which servers ended.
