Log which parts of prompts were in flight when a server ended

The crash reports carry hashes of whole requests only, so the logs could not tell a crash that each request causes by itself from one that many requests share by a part of their prompts, nor say which of the requests in flight had just begun. Each host now logs, for every request that its server ended under, hashes of the prompt's parts, the time since the head of the response and the last event. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -119,7 +119,9 @@
     /// Whether a break from now on is evidence on the server's version: the failures of a request
     /// count once, and before the response has begun another attempt shows whether they count.
     counts_break: bool,
+    request: Arc<str>,
     content_hash: u64,
+    part_hashes: Arc<[u64]>,
     forecast_key: state::ForecastKey,
     /// Work of processing the prompt, in prompt tokens of the smallest model.
     prompt_units: u64,
@@ -129,6 +131,7 @@
     /// Maximum number of idle connections to the server.
     idle_max: u32,
     sent_at_ms: u64,
+    head_at_ms: Option<u64>,
     first_byte_at_ms: Option<u64>,
     /// Number and time of the latest event of a stream.
     last_event: Option<(u64, u64)>,
@@ -210,6 +213,7 @@
                 return Err((AttemptError::TimedOut { timeout_ms }, None));
             }
         };
+        in_flight.head_at_ms = Some(exchange.state.clock.now_ms());
         let (parts, body) = response.into_parts();
         let head = response::decode(&parts, &exchange.head.attempt_id);
         leaving::record_notice(
@@ -266,12 +270,15 @@
             side,
             kind: exchange.kind(),
             counts_break: false,
+            request: Arc::clone(&exchange.head.attempt_id),
             content_hash: exchange.content_hash,
+            part_hashes: Arc::clone(&exchange.part_hashes),
             forecast_key: (exchange.service.clone(), exchange.model.clone()),
             prompt_units: request.prompt_units(),
             units_before_first_byte: units,
             idle_max: exchange.connection_limits().idle_max,
             sent_at_ms,
+            head_at_ms: None,
             first_byte_at_ms: None,
             last_event: None,
             event_intervals_ms: Vec::new(),
@@ -390,6 +397,7 @@
             return AttemptError::Broken(reason);
         }
         if pool::has_ended(self.server.address).await {
+            self.log_crash(now_ms);
             self.state.crashes.record_crash(self.content_hash, &self.server, now_ms);
             return AttemptError::ServerEnded(reason);
         }
@@ -397,6 +405,22 @@
         AttemptError::Broken(reason)
     }
 
+    /// Logs how far the answer had come when the server ended, and the parts of the prompt: of the
+    /// requests in flight, the one whose answer had just begun is the most likely cause.
+    fn log_crash(&self, now_ms: u64) {
+        let part_hashes = self.part_hashes.iter().map(|hash| format!("{hash:016x}"));
+        log::info!(
+            target: "toucanwall",
+            request = &*self.request, server = self.server.id.as_str(),
+            content = format!("{:016x}", self.content_hash),
+            parts = part_hashes.collect::<Vec<_>>().join(","),
+            sent_before_ms = now_ms.saturating_sub(self.sent_at_ms),
+            head_before_ms = self.head_at_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
+            last_event = self.last_event.map(|(id, _)| id);
+            "in flight when the server ended"
+        );
+    }
+
     /// Records that the server ended if it does not accept connections a little later: an ending
     /// process may close its listening socket after the connections.
     fn check_late_end(&self) -> impl Future<Output = ()> + use<> {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -53,6 +53,8 @@
     pub strips_key: bool,
     /// Hash of what identifies the request's content across its tries.
     pub content_hash: u64,
+    /// Hashes of the parts of the prompt in order, the last of which is the request's own.
+    pub part_hashes: Arc<[u64]>,
     /// Service that runs the request.
     pub service: name::ServiceName,
     /// Time at which the request was received, on the monotonic clock in milliseconds.
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -215,6 +215,7 @@
         retry_after_ms: None,
     })?;
     let content_hash = content_hash(organisation.map(|known| &known.name), &parts, &body);
+    let part_hashes = part_hashes(service, &head.prompt_part_ids);
     let router_selects_model =
         head.generation.as_ref().is_some_and(|generation| generation.router_selects_model);
     Ok(exchange::Exchange {
@@ -223,6 +224,7 @@
         organisation: organisation.map(Arc::clone),
         strips_key: configuration.requires_api_key(),
         content_hash,
+        part_hashes,
         service: service.clone(),
         received_at_ms,
         deadline_at_ms: exchange::deadline_at_ms(route, &head, received_at_ms),
@@ -427,6 +429,19 @@
     hasher.digest()
 }
 
+/// Hashes the parts of a prompt, in order, to the same values on all hosts. Services run different
+/// engines, so that a part that harms one may be sound for another.
+fn part_hashes(service: &name::ServiceName, part_ids: &[Arc<str>]) -> Arc<[u64]> {
+    let hash = |id: &Arc<str>| {
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        hasher.update(service.as_str().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(id.as_bytes());
+        hasher.digest()
+    };
+    part_ids.iter().map(hash).collect()
+}
+
 /// Hashes a text to the same value on all hosts.
 #[must_use]
 pub fn stable_hash(text: &str) -> u64 {
