Add failing tests for a part of a prompt that crashes servers

Eight stand-in servers crash 70 ms after they have sent the head of an answer on one part of a prompt; the requests are unlike except for it, come at six hosts five times a second, and run beside sound ones with the same key and first part.

--- /dev/null
+++ b/crates/daemon/tests/crashing_parts.rs
@@ -0,0 +1,272 @@
+//! A part of a prompt that crashes the servers that run it is not sent to ever more servers, and
+//! requests that share only its neighbours are still served.
+
+mod gateway_fleet;
+
+use std::collections;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic;
+use std::time;
+
+use gateway_fleet::GatewayFleet;
+use rstest::rstest;
+use toucanwall_platform_standin::backend;
+
+const HOST_COUNT: usize = 6;
+const SERVER_COUNT: usize = 8;
+/// Requests that a server runs at the same time.
+const SLOTS: usize = 6;
+/// Time after which a crashed server is back.
+const DOWNTIME: time::Duration = time::Duration::from_millis(1_500);
+/// Time from the head of a response to the crash.
+const CRASH_DELAY: time::Duration = time::Duration::from_millis(70);
+/// Time until all hosts know of a crash, as in the `contact_ms` setting.
+const CONTACT_TIME: time::Duration = time::Duration::from_secs(3);
+/// Crashes under a part from which the time limit runs.
+const CRASH_LIMIT: usize = 5;
+/// Requests with the part that may reach servers after the time limit.
+const LATE_SENDS_MAX: usize = 3;
+/// Part that all requests have in common.
+const FIRST_PART: &str = "f1f1";
+const CRASHING_PART: &str = "bad0";
+/// Second parts of the requests that crash nothing.
+const SOUND_PARTS: usize = 20;
+const SOUND_INTERVAL: time::Duration = time::Duration::from_millis(30);
+const CRASHING_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// Time in which only sound requests are sent.
+const WARM_UP: time::Duration = time::Duration::from_secs(2);
+/// Time after the fifth crash for which requests are sent.
+const AFTERMATH: time::Duration = time::Duration::from_secs(9);
+const CRASHES_DEADLINE: time::Duration = time::Duration::from_secs(20);
+
+/// A request that was sent and how it ended.
+struct Sent {
+    at: time::Instant,
+    id: String,
+    is_crashing: bool,
+    is_served: bool,
+    status: Option<u16>,
+    took: time::Duration,
+}
+
+struct Deployment {
+    fleet: GatewayFleet,
+    servers: Vec<backend::Backend>,
+    sent: Mutex<Vec<Sent>>,
+    /// When servers crashed.
+    crashes: Mutex<Vec<time::Instant>>,
+    next: atomic::AtomicUsize,
+    sends_crashing: atomic::AtomicBool,
+    is_finished: atomic::AtomicBool,
+}
+
+impl Deployment {
+    async fn start() -> Arc<Self> {
+        let mut servers = Vec::new();
+        for number in 0..SERVER_COUNT {
+            let behaviour =
+                backend::Behaviour::SlowStream { last: 10, pause: time::Duration::from_millis(40) };
+            let server = backend::Backend::start(&format!("s-{number}"), behaviour).await;
+            server.crash_on_part(CRASHING_PART, CRASH_DELAY, DOWNTIME);
+            server.limit_slots(SLOTS);
+            servers.push(server);
+        }
+        let mut fleet = GatewayFleet::prepare().await;
+        fleet.store.put("config", "main", &gateway_fleet::configuration(2));
+        for server in &servers {
+            fleet.register_run("engines", server, 1);
+        }
+        for _ in 0..HOST_COUNT {
+            fleet.add_host();
+        }
+        for index in 0..HOST_COUNT {
+            fleet.wait_for("the host to be ready", async || fleet.is_ready(index).await).await;
+        }
+        Arc::new(Self {
+            fleet,
+            servers,
+            sent: Mutex::default(),
+            crashes: Mutex::default(),
+            next: atomic::AtomicUsize::new(0),
+            sends_crashing: atomic::AtomicBool::new(false),
+            is_finished: atomic::AtomicBool::new(false),
+        })
+    }
+
+    /// Sends a request that is unlike all others except for the shared parts of its prompt.
+    async fn send(&self, host: usize, part: &str) -> Option<u16> {
+        let number = self.next.fetch_add(1, atomic::Ordering::SeqCst);
+        let id = format!("request-{number}");
+        let prompt = format!("{FIRST_PART}:800,{part}:400,a{number:x}:200");
+        let headers =
+            [("x-toucanwall-prefix-hash", &*prompt), ("x-toucanwall-token-count", "1400,40")];
+        let path = format!("/chat/{number}");
+        let at = time::Instant::now();
+        let response =
+            self.fleet.prepare_request_with(host, "POST", &path, &id, &headers).send().await;
+        let status = response.as_ref().map(|response| response.status);
+        let is_served = response.is_some_and(|it| it.status == 200 && it.is_complete);
+        let is_crashing = part == CRASHING_PART;
+        let sent = Sent { at, id, is_crashing, is_served, status, took: at.elapsed() };
+        self.sent.lock().expect("the lock is not poisoned").push(sent);
+        status
+    }
+
+    fn is_finished(&self) -> bool {
+        self.is_finished.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Sends sound requests to all hosts in turn.
+    async fn send_sound(self: Arc<Self>) {
+        for number in 0.. {
+            if self.is_finished() {
+                return;
+            }
+            let deployment = Arc::clone(&self);
+            let part = format!("d{}", number % SOUND_PARTS);
+            tokio::spawn(async move { deployment.send(number % HOST_COUNT, &part).await });
+            tokio::time::sleep(SOUND_INTERVAL).await;
+        }
+    }
+
+    /// Sends requests with the part that crashes servers to all hosts in turn.
+    async fn send_crashing(self: Arc<Self>) {
+        for number in 0.. {
+            if self.is_finished() {
+                return;
+            }
+            let deployment = Arc::clone(&self);
+            tokio::spawn(async move { deployment.send(number % HOST_COUNT, CRASHING_PART).await });
+            tokio::time::sleep(CRASHING_INTERVAL).await;
+        }
+    }
+
+    /// Registers each run of a server, and notes when servers crash.
+    async fn follow_servers(self: Arc<Self>) {
+        let mut known = [0; SERVER_COUNT];
+        while !self.is_finished() {
+            for (server, known) in self.servers.iter().zip(&mut known) {
+                let crashes = server.crashes();
+                if crashes > *known {
+                    *known = crashes;
+                    self.crashes.lock().expect("not poisoned").push(time::Instant::now());
+                    let deployment = Arc::clone(&self);
+                    let server = server.clone();
+                    tokio::spawn(async move {
+                        tokio::time::sleep(DOWNTIME).await;
+                        let born = u64::try_from(crashes).expect("a small number") + 1;
+                        deployment.fleet.register_run("engines", &server, born);
+                    });
+                }
+            }
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+    }
+
+    fn crash_count(&self) -> usize {
+        self.crashes.lock().expect("the lock is not poisoned").len()
+    }
+
+    /// Sends both kinds of requests until [`AFTERMATH`] after the fifth crash; returns when the
+    /// first request with the crashing part was sent and when the fifth server crashed.
+    async fn run_traffic(self: &Arc<Self>) -> (time::Instant, time::Instant) {
+        tokio::spawn(Arc::clone(self).follow_servers());
+        tokio::spawn(Arc::clone(self).send_sound());
+        tokio::time::sleep(WARM_UP).await;
+        let begun_at = time::Instant::now();
+        tokio::spawn(Arc::clone(self).send_crashing());
+        while self.crash_count() < CRASH_LIMIT && begun_at.elapsed() < CRASHES_DEADLINE {
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+        tokio::time::sleep(AFTERMATH).await;
+        let crashes = self.crashes.lock().expect("the lock is not poisoned").clone();
+        // With fewer crashes the limits count from the last one.
+        let limit_at = crashes.get(CRASH_LIMIT - 1).or(crashes.last());
+        (begun_at, *limit_at.expect("the part crashes servers"))
+    }
+
+    /// Requests with the crashing part that reached servers after `since`.
+    fn late_arrivals(&self, since: time::Instant) -> usize {
+        let sent = self.sent.lock().expect("the lock is not poisoned");
+        let crashing: collections::BTreeSet<_> =
+            sent.iter().filter(|it| it.is_crashing).map(|it| it.id.clone()).collect();
+        let arrivals = self.servers.iter().flat_map(backend::Backend::arrivals);
+        arrivals.filter(|it| it.at > since && crashing.contains(&it.attempt_id)).count()
+    }
+
+    /// Parts of the sound requests that were served, among those sent from `from` to `to`.
+    fn share_served(&self, from: time::Instant, to: time::Instant) -> f64 {
+        let sent = self.sent.lock().expect("the lock is not poisoned");
+        let sound = sent.iter().filter(|it| !it.is_crashing && it.at >= from && it.at < to);
+        let (mut served, mut all) = (0_u32, 0_u32);
+        for request in sound {
+            all += 1;
+            served += u32::from(request.is_served);
+        }
+        assert!(all >= 20, "{all} requests are too few to judge by");
+        f64::from(served) / f64::from(all)
+    }
+
+    async fn finish(&self) {
+        self.is_finished.store(true, atomic::Ordering::SeqCst);
+        tokio::time::sleep(DOWNTIME * 2).await;
+    }
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn part_that_crashed_five_servers_reaches_no_more_servers_and_its_neighbours_do() {
+    let deployment = Deployment::start().await;
+    let started_at = time::Instant::now();
+    let (begun_at, fifth_crash_at) = deployment.run_traffic().await;
+    let late = deployment.late_arrivals(fifth_crash_at + CONTACT_TIME);
+    let before = deployment.share_served(started_at, begun_at);
+    let after = deployment
+        .share_served(fifth_crash_at + CONTACT_TIME * 2, time::Instant::now() - CONTACT_TIME / 2);
+    println!(
+        "{} servers crashed, {late} late sends, sound requests served: {before:.3} before, {after:.3} after",
+        deployment.crash_count(),
+    );
+    assert!(late <= LATE_SENDS_MAX, "{late} requests with the part were sent to servers late");
+    assert!(after >= before / 2.0, "{after:.3} of the sound requests served, {before:.3} before");
+
+    deployment.finish().await;
+    // Nothing is served that crashes servers, and everything else on every host.
+    for host in 0..HOST_COUNT {
+        assert_eq!(deployment.send(host, CRASHING_PART).await, Some(503), "host {host}");
+        let sent = deployment.sent.lock().expect("the lock is not poisoned").pop();
+        let took = sent.expect("a request").took;
+        assert!(took < time::Duration::from_secs(1), "rejected after {took:?}");
+        for part in 0..SOUND_PARTS {
+            let status = deployment.send(host, &format!("d{part}")).await;
+            assert_eq!(
+                status,
+                Some(200),
+                "host {host}, part {part}: {}",
+                deployment.fleet.log(host)
+            );
+        }
+    }
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn part_that_crashed_five_servers_is_rejected_by_hosts_that_start_later() {
+    let deployment = Deployment::start().await;
+    deployment.run_traffic().await;
+    deployment.finish().await;
+    let crashes = deployment.crash_count();
+    let mut deployment = Arc::into_inner(deployment).expect("all traffic has ended");
+    for host in 0..HOST_COUNT {
+        deployment.fleet.restart(host);
+    }
+    for host in 0..HOST_COUNT {
+        let fleet = &deployment.fleet;
+        fleet.wait_for("the host to be ready", async || fleet.is_ready(host).await).await;
+        assert_eq!(deployment.send(host, CRASHING_PART).await, Some(503), "host {host}");
+        assert_eq!(deployment.send(host, "d1").await, Some(200), "host {host}");
+    }
+    let servers = &deployment.servers;
+    assert_eq!(servers.iter().map(backend::Backend::crashes).sum::<usize>(), crashes);
+}
--- a/crates/daemon/tests/gateway_fleet/mod.rs
+++ b/crates/daemon/tests/gateway_fleet/mod.rs
@@ -299,7 +299,8 @@
         self.prepare_request_with(index, method, path, id, &[])
     }
 
-    fn prepare_request_with(
+    /// Prepares a request with additional headers to a host.
+    pub fn prepare_request_with(
         &self,
         index: usize,
         method: &str,
