--- a/crates/daemon/tests/crashing_parts.rs
+++ b/crates/daemon/tests/crashing_parts.rs
@@ -236,15 +236,18 @@
         let sent = deployment.sent.lock().expect("the lock is not poisoned").pop();
         let took = sent.expect("a request").took;
         assert!(took < time::Duration::from_secs(1), "rejected after {took:?}");
-        for part in 0..SOUND_PARTS {
-            let status = deployment.send(host, &format!("d{part}")).await;
-            assert_eq!(
-                status,
-                Some(200),
-                "host {host}, part {part}: {}",
-                deployment.fleet.log(host)
-            );
-        }
+    }
+    let mut tasks = tokio::task::JoinSet::new();
+    for (host, part) in (0..HOST_COUNT).flat_map(|it| (0..SOUND_PARTS).map(move |part| (it, part)))
+    {
+        let deployment = Arc::clone(&deployment);
+        // The servers run a part of these at a time.
+        tokio::time::sleep(SOUND_INTERVAL).await;
+        tasks.spawn(async move { (host, part, deployment.send(host, &format!("d{part}")).await) });
+    }
+    while let Some(result) = tasks.join_next().await {
+        let (host, part, status) = result.expect("the task ends");
+        assert_eq!(status, Some(200), "host {host}, part {part}: {}", deployment.fleet.log(host));
     }
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,9 +5,11 @@
 
 use toucanwall_platform::response;
 use toucanwall_policy::canary;
+use toucanwall_policy::crash_causes;
 use toucanwall_policy::placement;
 use toucanwall_routing::server;
 
+use crate::crashes;
 use crate::exchange;
 use crate::execution;
 use crate::leaving;
@@ -20,6 +22,8 @@
 /// milliseconds.
 const START_MS: u64 = 500;
 
+/// Time after the first byte after which the server has survived a request, in milliseconds.
+const SURVIVAL_MS: u64 = 300;
 /// Number of events by which the speed of a stream is measured, unless it takes longer than
 /// [`MEASURED_MS`].
 const MEASURED_EVENTS: usize = 16;
@@ -43,6 +47,15 @@
     pub in_flight: InFlight,
 }
 
+/// How a response shows where it ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    /// By a length or by chunks.
+    Delimited,
+    /// By the end of the connection, which looks the same if the server has ended.
+    ConnectionEnd,
+}
+
 /// Reason why an attempt produced no usable response.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -50,6 +63,9 @@
     /// The server has begun to leave since it was chosen; the request was not sent.
     #[error("server no longer accepts requests")]
     NoLongerAccepts,
+    /// A part of the prompt has been found to end servers since the server was chosen.
+    #[error("a part of the prompt ends servers")]
+    Blocked,
     /// The connection to the server could not be established.
     #[error("cannot connect to the server: {0}")]
     Unreachable(std::io::Error),
@@ -104,7 +120,10 @@
     /// Returns whether the server failed the request: it was reached and did not decline.
     #[must_use]
     pub fn is_server_failure(&self) -> bool {
-        !matches!(self, Self::NoLongerAccepts | Self::Unreachable(_) | Self::Declined(_))
+        !matches!(
+            self,
+            Self::NoLongerAccepts | Self::Blocked | Self::Unreachable(_) | Self::Declined(_)
+        )
     }
 }
 
@@ -120,8 +139,9 @@
     /// count once, and before the response has begun another attempt shows whether they count.
     counts_break: bool,
     request: Arc<str>,
-    content_hash: u64,
-    part_hashes: Arc<[u64]>,
+    suspect: crash_causes::Suspect,
+    /// Whether it is recorded that the server went on after the answer had begun.
+    is_survival_recorded: bool,
     forecast_key: state::ForecastKey,
     /// Work of processing the prompt, in prompt tokens of the smallest model.
     prompt_units: u64,
@@ -132,6 +152,7 @@
     idle_max: u32,
     sent_at_ms: u64,
     head_at_ms: Option<u64>,
+    framing: Framing,
     first_byte_at_ms: Option<u64>,
     /// Number and time of the latest event of a stream.
     last_event: Option<(u64, u64)>,
@@ -169,6 +190,10 @@
             Ok(connection) => connection,
             Err(error) => {
                 in_flight.record_outcome(placement::Outcome::Unreachable);
+                if error.kind() == std::io::ErrorKind::ConnectionRefused {
+                    let now = exchange.state.clock.now();
+                    exchange.state.crashes.record_end(&in_flight.server, now);
+                }
                 return Err((AttemptError::Unreachable(error), not_written));
             }
         };
@@ -178,6 +203,11 @@
             in_flight.record_outcome(placement::Outcome::Cancelled);
             return Err((AttemptError::NoLongerAccepts, not_written));
         }
+        let verdict = exchange.crash_verdict(exchange.state.clock.now_ms());
+        if matches!(verdict, crashes::Verdict::PartBlocked | crashes::Verdict::Held { .. }) {
+            in_flight.record_outcome(placement::Outcome::Cancelled);
+            return Err((AttemptError::Blocked, not_written));
+        }
         let mut request = exchange.request_to(&in_flight.server).map_err(|error| {
             let error = AttemptError::Broken(error.to_string());
             (error, not_written)
@@ -188,7 +218,16 @@
             &in_flight.server,
             &exchange.head.attempt_id,
         );
-        let response = match tokio::time::timeout(timeout, connection.send(request)).await {
+        let sending = tokio::time::timeout(timeout, connection.send(request));
+        let sent = tokio::select! {
+            sent = sending => sent,
+            // The request may wait at the server, which does not run it once it is cancelled.
+            () = exchange.state.crashes.part_blocked(&exchange.part_hashes) => {
+                in_flight.record_outcome(placement::Outcome::Cancelled);
+                return Err((AttemptError::Blocked, None));
+            }
+        };
+        let response = match sent {
             Ok(Ok(response)) => response,
             // A server may close an idle connection at any time. That is no failure of the server;
             // the request is sent again on a new connection.
@@ -215,6 +254,7 @@
         };
         in_flight.head_at_ms = Some(exchange.state.clock.now_ms());
         let (parts, body) = response.into_parts();
+        in_flight.framing = Framing::of(&parts.headers);
         let head = response::decode(&parts, &exchange.head.attempt_id);
         leaving::record_notice(
             &exchange.state,
@@ -255,6 +295,14 @@
     Err((error, None))
 }
 
+impl Framing {
+    fn of(headers: &hyper::HeaderMap) -> Self {
+        let is_delimited = headers.contains_key(hyper::header::CONTENT_LENGTH)
+            || headers.contains_key(hyper::header::TRANSFER_ENCODING);
+        if is_delimited { Self::Delimited } else { Self::ConnectionEnd }
+    }
+}
+
 impl InFlight {
     fn start(exchange: &exchange::Exchange, assignment: exchange::Assignment) -> Self {
         let exchange::Assignment { server, side, units } = assignment;
@@ -271,14 +319,15 @@
             kind: exchange.kind(),
             counts_break: false,
             request: Arc::clone(&exchange.head.attempt_id),
-            content_hash: exchange.content_hash,
-            part_hashes: Arc::clone(&exchange.part_hashes),
+            suspect: exchange.suspect(),
+            is_survival_recorded: false,
             forecast_key: (exchange.service.clone(), exchange.model.clone()),
             prompt_units: request.prompt_units(),
             units_before_first_byte: units,
             idle_max: exchange.connection_limits().idle_max,
             sent_at_ms,
             head_at_ms: None,
+            framing: Framing::Delimited,
             first_byte_at_ms: None,
             last_event: None,
             event_intervals_ms: Vec::new(),
@@ -336,10 +385,15 @@
 
     /// Records that the events of a stream up to a number have arrived.
     pub fn record_events(&mut self, last_event_id: u64) {
+        let now_ms = self.state.clock.now_ms();
+        if self.first_byte_at_ms.is_some_and(|at_ms| now_ms >= at_ms + SURVIVAL_MS) {
+            self.record_survival();
+        }
         if self.is_rollout_answer_recorded {
+            // Only the progress matters from now on.
+            self.last_event = Some((last_event_id, now_ms));
             return;
         }
-        let now_ms = self.state.clock.now_ms();
         let previous = self.last_event.replace((last_event_id, now_ms));
         if let Some((previous_id, previous_ms)) = previous {
             let events = last_event_id.saturating_sub(previous_id);
@@ -383,7 +437,35 @@
     pub fn record_success(&mut self) {
         self.record_outcome(placement::Outcome::Fine);
         self.record_rollout_answer();
-        self.state.crashes.record_success(self.content_hash);
+        if self.framing == Framing::Delimited || self.has_run(self.state.clock.now_ms()) {
+            self.state.crashes.record_success(self.suspect.content_hash);
+            self.record_survival();
+        }
+    }
+
+    /// Records that the server went on after the answer had begun; only the first call has an
+    /// effect.
+    fn record_survival(&mut self) {
+        if let Some(begun_ms) = self.first_byte_at_ms.or(self.head_at_ms)
+            && !std::mem::replace(&mut self.is_survival_recorded, true)
+        {
+            self.state.crashes.record_survival(&self.suspect, begun_ms);
+        }
+    }
+
+    /// Whether the answer began so long ago that its beginning does not end the server.
+    fn has_run(&self, now_ms: u64) -> bool {
+        self.first_byte_at_ms.is_some_and(|at_ms| now_ms >= at_ms + START_MS)
+    }
+
+    /// What this request is suspected of if its server ends now.
+    fn current_suspect(&self) -> crash_causes::Suspect {
+        let progress = match (self.head_at_ms, self.last_event) {
+            (None, _) => crash_causes::Progress::Waiting,
+            (Some(_), None) => crash_causes::Progress::Begun,
+            (Some(_), Some(_)) => crash_causes::Progress::Streaming,
+        };
+        crash_causes::Suspect { progress, ..self.suspect.clone() }
     }
 
     /// Records that the connection broke, and whether the server ended under the request.
@@ -392,27 +474,27 @@
     pub async fn record_break(&mut self, reason: String) -> AttemptError {
         self.record_outcome(placement::Outcome::Failed);
         let now_ms = self.state.clock.now_ms();
-        let has_run = self.first_byte_at_ms.is_some_and(|at_ms| now_ms >= at_ms + START_MS);
-        if has_run {
+        if self.has_run(now_ms) {
             return AttemptError::Broken(reason);
         }
+        let suspect = self.current_suspect();
         if pool::has_ended(self.server.address).await {
             self.log_crash(now_ms);
-            self.state.crashes.record_crash(self.content_hash, &self.server, now_ms);
+            self.state.crashes.record_crash(&self.server, suspect, self.state.clock.now());
             return AttemptError::ServerEnded(reason);
         }
-        tokio::spawn(self.check_late_end());
+        tokio::spawn(self.check_late_end(suspect));
         AttemptError::Broken(reason)
     }
 
     /// Logs how far the answer had come when the server ended, and the parts of the prompt: of the
     /// requests in flight, the one whose answer had just begun is the most likely cause.
     fn log_crash(&self, now_ms: u64) {
-        let part_hashes = self.part_hashes.iter().map(|hash| format!("{hash:016x}"));
+        let part_hashes = self.suspect.parts.iter().map(|hash| format!("{hash:016x}"));
         log::info!(
             target: "toucanwall",
             request = &*self.request, server = self.server.id.as_str(),
-            content = format!("{:016x}", self.content_hash),
+            content = format!("{:016x}", self.suspect.content_hash),
             parts = part_hashes.collect::<Vec<_>>().join(","),
             sent_before_ms = now_ms.saturating_sub(self.sent_at_ms),
             head_before_ms = self.head_at_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
@@ -423,13 +505,12 @@
 
     /// Records that the server ended if it does not accept connections a little later: an ending
     /// process may close its listening socket after the connections.
-    fn check_late_end(&self) -> impl Future<Output = ()> + use<> {
+    fn check_late_end(&self, suspect: crash_causes::Suspect) -> impl Future<Output = ()> + use<> {
         let (state, server) = (Arc::clone(&self.state), Arc::clone(&self.server));
-        let content_hash = self.content_hash;
         async move {
             tokio::time::sleep(time::Duration::from_millis(LATE_END_MS)).await;
             if pool::has_ended(server.address).await {
-                state.crashes.record_crash(content_hash, &server, state.clock.now_ms());
+                state.crashes.record_crash(&server, suspect, state.clock.now());
             }
         }
     }
@@ -462,6 +543,10 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let now_ms = self.state.clock.now_ms();
+        let is_given_up = matches!(self.outcome, None | Some(placement::Outcome::Cancelled));
+        if is_given_up && !self.has_run(now_ms) {
+            self.state.crashes.record_given_up(&self.server, self.current_suspect(), now_ms);
+        }
         match self.outcome {
             None | Some(placement::Outcome::Cancelled) => self.record_given_up(),
             Some(_) => self.end_wait_for_first_byte(),
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time;
 
+use rand::RngExt as _;
 use toucanwall_platform::object;
 use toucanwall_platform::operator;
 use toucanwall_platform::registration;
@@ -39,6 +40,11 @@
 /// Time after which a roll-out state is written again if the store has not reported it, in
 /// milliseconds.
 const REWRITE_AFTER_MS: u64 = 700;
+/// Longest random delay before a host writes that a part of prompts is blocked, for each host that
+/// may write it, in milliseconds.
+const BLOCK_DELAY_PER_HOST_MS: u64 = 5;
+/// Longest such delay however many hosts there are, in milliseconds.
+const BLOCK_DELAY_MAX_MS: u64 = 1_500;
 /// Interval at which expired crash reports are looked for, in milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 60_000;
 /// Time after which this host's entry is written again if the store has not shown it, in
@@ -118,7 +124,7 @@
     /// The other hosts that this one watches.
     peers: peers::Peers,
     /// Reports of servers that ended.
-    crash_reports: crashes::ReportLog,
+    crash_entries: crashes::EntryLog,
     /// When expired crash reports are looked for next, in milliseconds.
     next_expiry_ms: u64,
     /// When a write of this host's entry was last requested, in milliseconds; `None` once the host
@@ -155,7 +161,7 @@
             writes,
             relay,
             peers,
-            crash_reports: crashes::ReportLog::default(),
+            crash_entries: crashes::EntryLog::default(),
             next_expiry_ms: 0,
             registered_ms: None,
             revisions: collections::BTreeMap::new(),
@@ -359,9 +365,9 @@
                     .replace_hosts(objects.iter().filter_map(change_feed::decode_host).collect());
             }
             object::Kind::CrashReports => {
-                self.crash_reports.clear_stored();
+                self.crash_entries.clear_stored();
                 for object in objects {
-                    self.apply_crash_report(object);
+                    self.apply_crash_entry(object);
                 }
             }
         }
@@ -413,8 +419,8 @@
                 }
             }
             (object::Kind::Hosts, true) => self.local_state.remove_host(name),
-            (object::Kind::CrashReports, false) => self.apply_crash_report(&change.object),
-            (object::Kind::CrashReports, true) => self.crash_reports.record_removed(name),
+            (object::Kind::CrashReports, false) => self.apply_crash_entry(&change.object),
+            (object::Kind::CrashReports, true) => self.remove_crash_entry(name),
         }
     }
 
@@ -426,45 +432,70 @@
         }
     }
 
-    /// Learns of a server that ended under requests of this or another host.
-    fn apply_crash_report(&mut self, object: &object::Object) {
+    /// Learns what this or another host has found out about servers that ended under requests.
+    fn apply_crash_entry(&mut self, object: &object::Object) {
         let metadata = &object.metadata;
-        match serde_json::from_str::<crashes::Report>(object.spec_text()) {
-            Ok(report) => {
-                self.inputs.crashes.merge(&report, self.inputs.clock.now());
-                self.crash_reports.record_stored(&metadata.name, metadata.revision, &report);
+        match serde_json::from_str::<crashes::Entry>(object.spec_text()) {
+            Ok(entry) => {
+                self.inputs.crashes.merge(&entry, self.inputs.clock.now());
+                self.crash_entries.record_stored(&metadata.name, metadata.revision, &entry);
             }
             Err(error) => log::warn!(
-                target: "toucanwall", report = &*metadata.name, why = error.to_string();
-                "malformed crash report ignored"
+                target: "toucanwall", entry = &*metadata.name, why = error.to_string();
+                "malformed entry about a crash ignored"
             ),
         }
     }
 
-    /// Reports servers that ended under requests, and removes expired reports.
-    fn write_crash_reports(&mut self, now_ms: u64) {
+    /// Learns that an entry about a crash is no longer in the store.
+    fn remove_crash_entry(&mut self, name: &str) {
+        if let Some(part) = self.crash_entries.record_removed(name) {
+            log::warn!(
+                target: "toucanwall", part = format!("{part:016x}");
+                "the entry that blocked a part of prompts was removed; allowed again"
+            );
+            self.inputs.crashes.unblock(part);
+        }
+    }
+
+    /// Writes what this host has found out about servers that ended, and removes expired entries.
+    fn write_crash_entries(&mut self, now_ms: u64) {
         let now = self.inputs.clock.now();
-        for report in self.inputs.crashes.take_unreported(now) {
-            self.crash_reports.add(report, self.inputs.host.run_id);
+        for entry in self.inputs.crashes.take_unreported(now) {
+            let delay_ms = match entry {
+                // All hosts decide to block the same parts; one of them has to write it.
+                crashes::Entry::Block(_) => self.block_delay_ms(),
+                crashes::Entry::Crash(_) | crashes::Entry::Clearance(_) => 0,
+            };
+            self.crash_entries.add(entry, self.inputs.host.run_id, now_ms + delay_ms);
         }
         if self.local_state.is_store_lost() {
             return;
         }
-        for (name, report) in self.crash_reports.take_due_writes(now_ms) {
-            self.request_write(store_writer::Write::CreateCrashReport(name, report));
+        for (name, entry) in self.crash_entries.take_due_writes(now_ms) {
+            self.request_write(store_writer::Write::CreateCrashEntry(name, entry));
         }
         if now_ms < self.next_expiry_ms {
             return;
         }
         self.next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS;
+        self.inputs.crashes.expire(now_ms);
         let view = Arc::clone(&self.inputs.views.borrow());
-        for (name, revision) in self.crash_reports.expire(now.unix_ms) {
+        for (name, revision) in self.crash_entries.expire(now.unix_ms) {
             if view.rank_of(&self.inputs.settings.host, ingress::stable_hash(&name)) == 0 {
-                self.request_write(store_writer::Write::RemoveCrashReport(name, revision));
+                self.request_write(store_writer::Write::RemoveCrashEntry(name, revision));
             }
         }
     }
 
+    /// Random delay of a write that each host would make, so that most hosts see that another one
+    /// has made it, in milliseconds.
+    fn block_delay_ms(&self) -> u64 {
+        let hosts = self.inputs.views.borrow().serving_host_count();
+        let max_ms = hosts.saturating_mul(BLOCK_DELAY_PER_HOST_MS);
+        rand::rng().random_range(0..=max_ms.min(BLOCK_DELAY_MAX_MS))
+    }
+
     fn apply_configuration(&mut self, object: &object::Object) {
         if &*object.metadata.name != object::CONFIGURATION_NAME {
             return;
@@ -509,7 +540,7 @@
         let now_ms = self.inputs.clock.now_ms();
         self.check_registration(now_ms);
         self.remove_lost_hosts(now_ms);
-        self.write_crash_reports(now_ms);
+        self.write_crash_entries(now_ms);
         self.inputs.rollouts.count_overdue(now_ms);
         self.peers.send_rollout_reports();
         let expired = self.local_state.tick(now_ms);
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -10,21 +10,85 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde_with::serde_as;
+use toucanwall_policy::crash_causes;
 use toucanwall_policy::crash_history;
 use toucanwall_routing::name;
 use toucanwall_routing::server;
 
 use crate::rollouts;
 
-/// Time after which a report is written again if the store does not show it, in milliseconds.
+/// Time after which an entry is written again if the store does not show it, in milliseconds.
 const REWRITE_AFTER_MS: u64 = 1_500;
+/// Time for which a request that was given up may be the cause of its server's end, in
+/// milliseconds. Servers crash shortly after they begin an answer, whether or not it is awaited.
+const GIVEN_UP_MS: u64 = 500;
+/// Maximum number of requests that were given up and are remembered.
+const MAX_GIVEN_UP: usize = 256;
 
-/// Contents of requests under which servers ended, as known to this host.
-#[derive(Debug, Default)]
+/// Requests and parts of prompts under which servers ended, as known to this host.
+#[derive(Debug)]
 pub struct Crashes {
-    history: Mutex<crash_history::CrashHistory>,
+    knowledge: Mutex<Knowledge>,
     /// Crashes that this host noticed and has not reported yet.
-    unreported: Mutex<collections::BTreeMap<crash_history::ServerRun, collections::BTreeSet<u64>>>,
+    unreported: Mutex<collections::BTreeMap<crash_history::ServerRun, InFlight>>,
+    /// Requests that were given up lately, with their servers, oldest first.
+    given_up: Mutex<collections::VecDeque<GivenUp>>,
+    /// Number of times that a part was blocked.
+    blocks: tokio::sync::watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Knowledge {
+    history: crash_history::CrashHistory,
+    causes: crash_causes::CrashCauses,
+}
+
+/// Requests of this host that were in flight when a server ended.
+#[derive(Debug, Default)]
+struct InFlight {
+    content_hashes: collections::BTreeSet<u64>,
+    suspects: Vec<crash_causes::Suspect>,
+}
+
+#[derive(Debug)]
+struct GivenUp {
+    at_ms: u64,
+    run: crash_history::ServerRun,
+    suspect: crash_causes::Suspect,
+}
+
+/// Whether a request may be sent to servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may be sent.
+    Allowed,
+    /// It may be sent once, and not again if the server ends.
+    Suspected,
+    /// It may not be sent at present.
+    Held {
+        /// Time until the matter is decided, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The whole request ended too many servers.
+    RequestBlocked {
+        /// Time until one of the crashes is forgotten, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// A part of its prompt ends servers.
+    PartBlocked,
+}
+
+/// An entry in the store about servers that ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Entry {
+    /// A server ended while it ran requests.
+    Crash(Report),
+    /// A part of prompts is innocent of crashes.
+    Clearance(Clearance),
+    /// A part of prompts crashes servers; no request with it is sent as long as the entry exists.
+    Block(Block),
 }
 
 /// A host's report of a server that ended while it ran requests.
@@ -41,28 +105,195 @@
     /// Hashes of the contents that the server was running.
     #[serde_as(as = "Vec<serde_with::hex::Hex>")]
     pub content_hashes: Vec<[u8; 8]>,
+    /// Generation requests that the server was running.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<Suspect>,
+}
+
+/// A generation request that a server was running when it ended.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Suspect {
+    /// Hash of the whole request.
+    #[serde_as(as = "serde_with::hex::Hex")]
+    pub content_hash: [u8; 8],
+    /// How far the answer had come.
+    pub progress: Progress,
+    /// Hashes of the parts of its prompt that other requests may share, in order.
+    #[serde_as(as = "Vec<serde_with::hex::Hex>")]
+    pub part_hashes: Vec<[u8; 8]>,
 }
 
-/// Reports in the store, and this host's own ones that should be there.
+/// How far an answer had come when its server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Progress {
+    /// The response had not begun.
+    Waiting,
+    /// The response had begun, and no event had arrived.
+    Begun,
+    /// Events had arrived, the first of them recently.
+    Streaming,
+}
+
+/// A host's report that answers with a part went on after crashes.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Clearance {
+    /// Hash of the part.
+    #[serde_as(as = "serde_with::hex::Hex")]
+    pub cleared_part: [u8; 8],
+    /// Runs of servers of whose crashes the part is cleared.
+    pub runs: Vec<Run>,
+    /// When the host wrote the report, in milliseconds since the Unix epoch.
+    pub noticed_unix_ms: u64,
+}
+
+/// A run of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Run {
+    /// Id of the server.
+    pub server: name::ServerId,
+    /// When the server had started, in milliseconds since the Unix epoch.
+    pub started_unix_ms: Option<u64>,
+}
+
+/// The decision that a part crashes servers.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Block {
+    /// Hash of the part.
+    #[serde_as(as = "serde_with::hex::Hex")]
+    pub blocked_part: [u8; 8],
+}
+
+/// Entries in the store, and this host's own ones that should be there.
 #[derive(Debug, Default)]
-pub struct ReportLog {
-    /// Reports that the store shows, with their revisions.
-    stored: collections::BTreeMap<Arc<str>, StoredReport>,
-    own: collections::BTreeMap<Arc<str>, OwnReport>,
-    /// Number of reports made by this run.
+pub struct EntryLog {
+    /// Entries that the store shows.
+    stored: collections::BTreeMap<Arc<str>, StoredEntry>,
+    own: collections::BTreeMap<Arc<str>, OwnEntry>,
+    /// Number of entries made by this run.
     made: u64,
 }
 
 #[derive(Debug)]
-struct StoredReport {
-    noticed_unix_ms: u64,
+struct StoredEntry {
+    /// When the entry was made, in milliseconds since the Unix epoch; `None` if it never expires.
+    made_unix_ms: Option<u64>,
+    blocked_part: Option<u64>,
     revision: u64,
 }
 
 #[derive(Debug)]
-struct OwnReport {
-    report: Report,
-    written_ms: Option<u64>,
+struct OwnEntry {
+    entry: Entry,
+    /// When it is written first, or was written last, in milliseconds.
+    write_after_ms: u64,
+}
+
+impl From<crash_causes::Progress> for Progress {
+    fn from(progress: crash_causes::Progress) -> Self {
+        match progress {
+            crash_causes::Progress::Waiting => Self::Waiting,
+            crash_causes::Progress::Begun => Self::Begun,
+            crash_causes::Progress::Streaming => Self::Streaming,
+        }
+    }
+}
+
+impl From<Progress> for crash_causes::Progress {
+    fn from(progress: Progress) -> Self {
+        match progress {
+            Progress::Waiting => Self::Waiting,
+            Progress::Begun => Self::Begun,
+            Progress::Streaming => Self::Streaming,
+        }
+    }
+}
+
+impl From<&crash_causes::Suspect> for Suspect {
+    fn from(suspect: &crash_causes::Suspect) -> Self {
+        Self {
+            content_hash: suspect.content_hash.to_be_bytes(),
+            progress: suspect.progress.into(),
+            part_hashes: suspect.parts.iter().map(|part| part.to_be_bytes()).collect(),
+        }
+    }
+}
+
+impl From<&Suspect> for crash_causes::Suspect {
+    fn from(suspect: &Suspect) -> Self {
+        let parts = suspect.part_hashes.iter().take(crash_causes::MAX_PARTS);
+        Self {
+            content_hash: u64::from_be_bytes(suspect.content_hash),
+            progress: suspect.progress.into(),
+            parts: parts.map(|part| u64::from_be_bytes(*part)).collect(),
+        }
+    }
+}
+
+impl From<crash_history::ServerRun> for Run {
+    fn from(run: crash_history::ServerRun) -> Self {
+        Self { server: run.server, started_unix_ms: run.started_unix_ms }
+    }
+}
+
+impl From<&Run> for crash_history::ServerRun {
+    fn from(run: &Run) -> Self {
+        Self { server: run.server.clone(), started_unix_ms: run.started_unix_ms }
+    }
+}
+
+impl Entry {
+    fn made_unix_ms(&self) -> Option<u64> {
+        match self {
+            Self::Crash(report) => Some(report.noticed_unix_ms),
+            Self::Clearance(clearance) => Some(clearance.noticed_unix_ms),
+            Self::Block(_) => None,
+        }
+    }
+
+    /// Name of the entry, if all hosts give it the same one.
+    fn common_name(&self) -> Option<Arc<str>> {
+        match self {
+            Self::Block(block) => {
+                let part = u64::from_be_bytes(block.blocked_part);
+                Some(format!("blocked-{part:016x}").into())
+            }
+            Self::Crash(_) | Self::Clearance(_) => None,
+        }
+    }
+}
+
+impl Knowledge {
+    fn record_suspects(
+        &mut self,
+        run: &crash_history::ServerRun,
+        noticed_unix_ms: u64,
+        suspects: &[crash_causes::Suspect],
+        now_ms: u64,
+    ) {
+        if self.causes.record_crash(run, noticed_unix_ms, suspects, now_ms) {
+            self.history.excuse(std::slice::from_ref(run));
+        }
+    }
+}
+
+impl Default for Crashes {
+    fn default() -> Self {
+        Self {
+            knowledge: Mutex::default(),
+            unreported: Mutex::default(),
+            given_up: Mutex::default(),
+            blocks: tokio::sync::watch::Sender::new(0),
+        }
+    }
 }
 
 impl Crashes {
@@ -72,30 +303,140 @@
         Self::default()
     }
 
-    /// Whether a content may be sent to servers.
+    /// Whether a request may be sent to servers.
     #[must_use]
-    pub fn verdict(&self, content_hash: u64, now_ms: u64) -> crash_history::Verdict {
-        lock(&self.history).verdict(content_hash, now_ms)
+    pub fn verdict(&self, content_hash: u64, part_hashes: &[u64], now_ms: u64) -> Verdict {
+        let knowledge = lock(&self.knowledge);
+        let part_verdict = knowledge.causes.verdict(part_hashes);
+        if part_verdict == crash_causes::Verdict::Blocked {
+            return Verdict::PartBlocked;
+        }
+        let content_verdict = knowledge.history.verdict(content_hash, now_ms);
+        if let crash_history::Verdict::Blocked { retry_after_ms } = content_verdict {
+            return Verdict::RequestBlocked { retry_after_ms };
+        }
+        match part_verdict {
+            crash_causes::Verdict::Held => Verdict::Held { retry_after_ms: crash_causes::HOLD_MS },
+            crash_causes::Verdict::Suspected => Verdict::Suspected,
+            crash_causes::Verdict::Allowed | crash_causes::Verdict::Blocked => Verdict::Allowed,
+        }
+    }
+
+    /// Waits until one of the parts is blocked for good.
+    pub async fn part_blocked(&self, part_hashes: &[u64]) {
+        if part_hashes.is_empty() {
+            return std::future::pending().await;
+        }
+        let mut blocks = self.blocks.subscribe();
+        loop {
+            let verdict = lock(&self.knowledge).causes.verdict(part_hashes);
+            if verdict == crash_causes::Verdict::Blocked {
+                return;
+            }
+            if blocks.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
     }
 
     /// Records that a server ran a content successfully.
     pub fn record_success(&self, content_hash: u64) {
-        lock(&self.history).record_success(content_hash);
+        lock(&self.knowledge).history.record_success(content_hash);
     }
 
-    /// Records that a server ended while it ran a content for this host.
-    pub fn record_crash(&self, content_hash: u64, server: &server::BackendServer, now_ms: u64) {
-        let run = crash_history::ServerRun {
-            server: server.id.clone(),
-            started_unix_ms: server.started_unix_ms,
-        };
-        if lock(&self.history).record_crash(content_hash, run.clone(), now_ms) {
-            lock(&self.unreported).entry(run).or_default().insert(content_hash);
+    /// Records that the answer to a request began and went on.
+    pub fn record_survival(&self, suspect: &crash_causes::Suspect, begun_ms: u64) {
+        if !suspect.parts.is_empty() {
+            lock(&self.knowledge).causes.record_survival(&suspect.parts, begun_ms);
         }
     }
 
-    /// Records the report of a host.
-    pub fn merge(&self, report: &Report, now: rollouts::Timestamp) {
+    /// Records that a request was given up shortly after it was sent or its answer had begun. Its
+    /// server may still end because of it.
+    pub fn record_given_up(
+        &self,
+        server: &server::BackendServer,
+        suspect: crash_causes::Suspect,
+        now_ms: u64,
+    ) {
+        if suspect.parts.is_empty() {
+            return;
+        }
+        let mut given_up = lock(&self.given_up);
+        given_up.retain(|it| now_ms < it.at_ms + GIVEN_UP_MS);
+        if given_up.len() >= MAX_GIVEN_UP {
+            given_up.pop_front();
+        }
+        given_up.push_back(GivenUp { at_ms: now_ms, run: run_of(server), suspect });
+    }
+
+    /// Records that a server ended while it ran a request for this host.
+    pub fn record_crash(
+        &self,
+        server: &server::BackendServer,
+        suspect: crash_causes::Suspect,
+        now: rollouts::Timestamp,
+    ) {
+        let run = run_of(server);
+        let content_hash = suspect.content_hash;
+        let is_news =
+            lock(&self.knowledge).history.record_crash(content_hash, run.clone(), now.monotonic_ms);
+        if is_news {
+            let mut unreported = lock(&self.unreported);
+            unreported.entry(run).or_default().content_hashes.insert(content_hash);
+        }
+        self.record_suspects(server, [suspect], now);
+    }
+
+    /// Records that a server has ended, as shown by a refused connection. Requests that were given
+    /// up just before may be the cause.
+    pub fn record_end(&self, server: &server::BackendServer, now: rollouts::Timestamp) {
+        self.record_suspects(server, [], now);
+    }
+
+    fn record_suspects<I>(
+        &self,
+        server: &server::BackendServer,
+        suspects: I,
+        now: rollouts::Timestamp,
+    ) where
+        I: IntoIterator<Item = crash_causes::Suspect>,
+    {
+        let run = run_of(server);
+        let mut suspects: Vec<_> =
+            suspects.into_iter().filter(|suspect| !suspect.parts.is_empty()).collect();
+        let mut given_up = lock(&self.given_up);
+        given_up.retain(|it| {
+            let is_recent = now.monotonic_ms < it.at_ms + GIVEN_UP_MS;
+            let is_of_run = it.run == run;
+            if is_recent && is_of_run {
+                suspects.push(it.suspect.clone());
+            }
+            is_recent && !is_of_run
+        });
+        drop(given_up);
+        if suspects.is_empty() {
+            return;
+        }
+        lock(&self.knowledge).record_suspects(&run, now.unix_ms, &suspects, now.monotonic_ms);
+        lock(&self.unreported).entry(run).or_default().suspects.extend(suspects);
+    }
+
+    /// Records an entry that the store shows.
+    pub fn merge(&self, entry: &Entry, now: rollouts::Timestamp) {
+        match entry {
+            Entry::Crash(report) => self.merge_crash(report, now),
+            Entry::Clearance(clearance) => {
+                let runs: Vec<crash_history::ServerRun> =
+                    clearance.runs.iter().map(Into::into).collect();
+                let part = u64::from_be_bytes(clearance.cleared_part);
+                lock(&self.knowledge).causes.record_clearance(part, &runs);
+            }
+            Entry::Block(block) => self.block(u64::from_be_bytes(block.blocked_part)),
+        }
+    }
+
+    fn merge_crash(&self, report: &Report, now: rollouts::Timestamp) {
         let age_ms = now.unix_ms.saturating_sub(report.noticed_unix_ms);
         let run = crash_history::ServerRun {
             server: report.server.clone(),
@@ -105,77 +446,145 @@
         if age_ms >= crash_history::CRASH_TTL_MS {
             return;
         }
-        let mut history = lock(&self.history);
+        let mut knowledge = lock(&self.knowledge);
         for content_hash in &report.content_hashes {
-            history.record_crash(u64::from_be_bytes(*content_hash), run.clone(), at_ms);
+            let content_hash = u64::from_be_bytes(*content_hash);
+            knowledge.history.record_crash(content_hash, run.clone(), at_ms);
         }
+        let suspects: Vec<_> =
+            report.suspects.iter().take(crash_causes::MAX_SUSPECTS).map(Into::into).collect();
+        knowledge.record_suspects(&run, report.noticed_unix_ms, &suspects, now.monotonic_ms);
+    }
+
+    fn block(&self, part: u64) {
+        let mut knowledge = lock(&self.knowledge);
+        let runs = knowledge.causes.record_block(part);
+        knowledge.history.excuse(&runs);
+        drop(knowledge);
+        self.blocks.send_modify(|count| *count += 1);
     }
 
-    /// Takes the crashes that have not been reported yet, one report for each server.
-    pub fn take_unreported(&self, now: rollouts::Timestamp) -> Vec<Report> {
+    /// Allows a part again, since its entry was removed from the store.
+    pub fn unblock(&self, part: u64) {
+        lock(&self.knowledge).causes.record_unblock(part);
+    }
+
+    /// Takes the crashes that have not been reported yet, one report for each server, and the
+    /// conclusions that other hosts should learn.
+    pub fn take_unreported(&self, now: rollouts::Timestamp) -> Vec<Entry> {
         let unreported = std::mem::take(&mut *lock(&self.unreported));
-        let to_report =
-            |(run, hashes): (crash_history::ServerRun, collections::BTreeSet<u64>)| Report {
+        let to_report = |(run, in_flight): (crash_history::ServerRun, InFlight)| {
+            let suspects = in_flight.suspects.iter().take(crash_causes::MAX_SUSPECTS);
+            Entry::Crash(Report {
                 server: run.server,
                 started_unix_ms: run.started_unix_ms,
                 noticed_unix_ms: now.unix_ms,
-                content_hashes: hashes.into_iter().map(u64::to_be_bytes).collect(),
-            };
-        unreported.into_iter().map(to_report).collect()
+                content_hashes: in_flight
+                    .content_hashes
+                    .into_iter()
+                    .map(u64::to_be_bytes)
+                    .collect(),
+                suspects: suspects.map(Suspect::from).collect(),
+            })
+        };
+        let mut entries: Vec<_> = unreported.into_iter().map(to_report).collect();
+        let mut knowledge = lock(&self.knowledge);
+        let steps = knowledge.causes.advance(now.monotonic_ms, &mut rand::rng());
+        for step in steps {
+            entries.push(match step {
+                crash_causes::Step::Block { part, runs, score } => {
+                    knowledge.history.excuse(&runs);
+                    self.blocks.send_modify(|count| *count += 1);
+                    log::warn!(
+                        target: "toucanwall", part = format!("{part:016x}"), crashes = runs.len(),
+                        score = score; "a part of prompts ends servers; blocked"
+                    );
+                    Entry::Block(Block { blocked_part: part.to_be_bytes() })
+                }
+                crash_causes::Step::Clear { part, runs } => Entry::Clearance(Clearance {
+                    cleared_part: part.to_be_bytes(),
+                    runs: runs.into_iter().map(Run::from).collect(),
+                    noticed_unix_ms: now.unix_ms,
+                }),
+            });
+        }
+        entries
+    }
+
+    /// Forgets crashes that this host learned of long ago.
+    pub fn expire(&self, now_ms: u64) {
+        let before_ms = now_ms.saturating_sub(crash_history::CRASH_TTL_MS);
+        lock(&self.knowledge).causes.forget_before(before_ms);
     }
 }
 
-impl ReportLog {
-    /// Adds a report of this host, which is identified by its run.
-    pub fn add(&mut self, report: Report, run_id: u64) {
+impl EntryLog {
+    /// Adds an entry of this host, which is identified by its run. It is written after `delay_ms`.
+    pub fn add(&mut self, entry: Entry, run_id: u64, write_after_ms: u64) {
         self.made += 1;
-        let name = format!("{run_id:016x}-{}", self.made);
-        self.own.insert(name.into(), OwnReport { report, written_ms: None });
+        let name =
+            entry.common_name().unwrap_or_else(|| format!("{run_id:016x}-{}", self.made).into());
+        self.own.insert(name, OwnEntry { entry, write_after_ms });
     }
 
-    /// Records that the store shows a report.
-    pub fn record_stored(&mut self, name: &Arc<str>, revision: u64, report: &Report) {
-        let stored = StoredReport { noticed_unix_ms: report.noticed_unix_ms, revision };
+    /// Records that the store shows an entry.
+    pub fn record_stored(&mut self, name: &Arc<str>, revision: u64, entry: &Entry) {
+        let blocked_part = match entry {
+            Entry::Block(block) => Some(u64::from_be_bytes(block.blocked_part)),
+            Entry::Crash(_) | Entry::Clearance(_) => None,
+        };
+        let stored = StoredEntry { made_unix_ms: entry.made_unix_ms(), blocked_part, revision };
         self.stored.insert(Arc::clone(name), stored);
     }
 
-    /// Records that the store no longer shows a report.
-    pub fn record_removed(&mut self, name: &str) {
-        self.stored.remove(name);
+    /// Records that the store no longer shows an entry; returns the part that it blocked. Its
+    /// removal is an operator's decision, so this host does not write it again.
+    pub fn record_removed(&mut self, name: &str) -> Option<u64> {
+        let blocked_part = self.stored.remove(name).and_then(|stored| stored.blocked_part);
+        if blocked_part.is_some() {
+            self.own.remove(name);
+        }
+        blocked_part
     }
 
-    /// Records that the store shows no reports; those that it does show are recorded next.
+    /// Records that the store shows no entries; those that it does show are recorded next.
     pub fn clear_stored(&mut self) {
         self.stored.clear();
     }
 
-    /// Own reports to write now: new ones, and those that the store does not show, since a write
+    /// Own entries to write now: new ones, and those that the store does not show, since a write
     /// failed or the store lost it.
-    pub fn take_due_writes(&mut self, now_ms: u64) -> Vec<(Arc<str>, Report)> {
+    pub fn take_due_writes(&mut self, now_ms: u64) -> Vec<(Arc<str>, Entry)> {
         let stored = &self.stored;
-        let due = self.own.iter_mut().filter(|(name, own)| {
-            let is_recent = own.written_ms.is_some_and(|at_ms| now_ms < at_ms + REWRITE_AFTER_MS);
-            !is_recent && !stored.contains_key(*name)
-        });
+        let due = self
+            .own
+            .iter_mut()
+            .filter(|(name, own)| now_ms >= own.write_after_ms && !stored.contains_key(*name));
         due.map(|(name, own)| {
-            own.written_ms = Some(now_ms);
-            (Arc::clone(name), own.report.clone())
+            own.write_after_ms = now_ms + REWRITE_AFTER_MS;
+            (Arc::clone(name), own.entry.clone())
         })
         .collect()
     }
 
-    /// Forgets expired reports; returns the names and revisions of those in the store, which some
+    /// Forgets expired entries; returns the names and revisions of those in the store, which some
     /// host has to remove.
     pub fn expire(&mut self, now_unix_ms: u64) -> Vec<(Arc<str>, u64)> {
-        let is_expired = |noticed_unix_ms: u64| {
-            now_unix_ms.saturating_sub(noticed_unix_ms) >= crash_history::CRASH_TTL_MS
+        let is_expired = |made_unix_ms: Option<u64>| {
+            made_unix_ms.is_some_and(|made_unix_ms| {
+                now_unix_ms.saturating_sub(made_unix_ms) >= crash_history::CRASH_TTL_MS
+            })
         };
-        self.own.retain(|_, own| !is_expired(own.report.noticed_unix_ms));
-        let expired = self.stored.iter().filter(|(_, stored)| is_expired(stored.noticed_unix_ms));
+        self.own.retain(|_, own| !is_expired(own.entry.made_unix_ms()));
+        let expired = self.stored.iter().filter(|(_, stored)| is_expired(stored.made_unix_ms));
         expired.map(|(name, stored)| (Arc::clone(name), stored.revision)).collect()
     }
 }
 
+fn run_of(server: &server::BackendServer) -> crash_history::ServerRun {
+    crash_history::ServerRun { server: server.id.clone(), started_unix_ms: server.started_unix_ms }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/src/dispatch_parameters.rs
+++ b/crates/gateway/src/dispatch_parameters.rs
@@ -11,6 +11,7 @@
 use toucanwall_policy::placement;
 use toucanwall_routing::name;
 
+use crate::crashes;
 use crate::exchange;
 use crate::ingress;
 
@@ -35,6 +36,10 @@
         if !can_retry || !head.status.is_success() || self.last_event_id.is_some() {
             return None;
         }
+        // A server may end under this request, so it is not sent to another one.
+        if self.crash_verdict(self.state.clock.now_ms()) != crashes::Verdict::Allowed {
+            return None;
+        }
         // The first response is discarded only if the retry budget allows the second run.
         if self.state.spare_retries(&self.service) == 0 {
             return None;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,13 +8,14 @@
 use toucanwall_policy::admission;
 use toucanwall_policy::attribution;
 use toucanwall_policy::canary;
-use toucanwall_policy::crash_history;
+use toucanwall_policy::crash_causes;
 use toucanwall_policy::placement;
 use toucanwall_routing::configuration;
 use toucanwall_routing::name;
 use toucanwall_routing::server;
 
 use crate::attempt;
+use crate::crashes;
 use crate::execution;
 use crate::ingress;
 use crate::pool;
@@ -277,14 +278,11 @@
                 "no time left",
             );
         }
-        let verdict = self.state.crashes.verdict(self.content_hash, now_ms);
-        if let crash_history::Verdict::Blocked { retry_after_ms } = verdict {
-            let status = hyper::StatusCode::BAD_GATEWAY;
-            let reason = "servers ended under this request";
-            return Self::give_up(execution, status, Some(retry_after_ms), reason);
-        }
-        let is_unknown = matches!(execution, execution::Status::Unknown);
         let bad_gateway = hyper::StatusCode::BAD_GATEWAY;
+        let is_unknown = matches!(execution, execution::Status::Unknown);
+        if let Some((reason, retry_after_ms)) = self.rejection_after_crashes(is_unknown, now_ms) {
+            return Self::give_up(execution, bad_gateway, retry_after_ms, reason);
+        }
         if is_unknown && !self.allows_retry() {
             return Self::give_up(execution, bad_gateway, None, "outcome unknown");
         }
@@ -317,6 +315,45 @@
         }
     }
 
+    /// Why the request may not be sent to a server, since servers ended under it or under a part of
+    /// its prompt, and when to try again.
+    fn rejection_after_crashes(
+        &self,
+        is_unknown: bool,
+        now_ms: u64,
+    ) -> Option<(&'static str, Option<u64>)> {
+        match self.crash_verdict(now_ms) {
+            crashes::Verdict::PartBlocked => Some(("a part of the prompt ends servers", None)),
+            crashes::Verdict::RequestBlocked { retry_after_ms } => {
+                Some(("servers ended under this request", Some(retry_after_ms)))
+            }
+            crashes::Verdict::Held { retry_after_ms } => {
+                Some(("a part of the prompt may end servers", Some(retry_after_ms)))
+            }
+            crashes::Verdict::Suspected if is_unknown => {
+                Some(("a part of the prompt may end servers; not sent again", None))
+            }
+            crashes::Verdict::Suspected | crashes::Verdict::Allowed => None,
+        }
+    }
+
+    /// Whether the request may be sent to servers, in view of crashes.
+    #[must_use]
+    pub fn crash_verdict(&self, now_ms: u64) -> crashes::Verdict {
+        self.state.crashes.verdict(self.content_hash, &self.part_hashes, now_ms)
+    }
+
+    /// What the request is suspected of if its server ends.
+    #[must_use]
+    pub fn suspect(&self) -> crash_causes::Suspect {
+        let shared = self.part_hashes.split_last().map_or(&[][..], |(_, shared)| shared);
+        crash_causes::Suspect {
+            content_hash: self.content_hash,
+            progress: crash_causes::Progress::Waiting,
+            parts: shared.iter().take(crash_causes::MAX_PARTS).copied().collect(),
+        }
+    }
+
     fn reason_for_no_server(&self) -> &'static str {
         let has_ready_servers = !self.state.view().ready_servers_of(&self.service).is_empty();
         if has_ready_servers && self.state.accepting_servers(&self.service).is_empty() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -119,6 +119,7 @@
     pub fn record_attempt_error(&self, error: &attempt::AttemptError) {
         let reason = match error {
             attempt::AttemptError::NoLongerAccepts => "leaving",
+            attempt::AttemptError::Blocked => "blocked",
             attempt::AttemptError::Unreachable(_) => "unreachable",
             attempt::AttemptError::NotWritten => "not_written",
             attempt::AttemptError::Declined(_) => "declined",
--- a/crates/gateway/src/store_writer.rs
+++ b/crates/gateway/src/store_writer.rs
@@ -25,10 +25,10 @@
     PutHost(host::HostEntry),
     /// Remove the entry of another host that is lost, unless it has changed since.
     RemoveLostHost(Arc<host::HostEntry>),
-    /// Create a report of crashes.
-    CreateCrashReport(Arc<str>, crashes::Report),
-    /// Remove a report of crashes that is still at the given revision.
-    RemoveCrashReport(Arc<str>, u64),
+    /// Create an entry about crashes.
+    CreateCrashEntry(Arc<str>, crashes::Entry),
+    /// Remove an entry about crashes that is still at the given revision.
+    RemoveCrashEntry(Arc<str>, u64),
     /// Update the status of a roll-out.
     UpdateRollout(rollout::Rollout),
     /// Remove this host's entry; the sender is notified when it is removed or the attempt has
@@ -66,11 +66,11 @@
             match write {
                 Write::PutHost(host) => self.put_host(&host).await,
                 Write::RemoveLostHost(host) => self.remove_lost_host(&host).await,
-                Write::CreateCrashReport(name, report) => {
-                    self.create_crash_report(&name, &report).await;
+                Write::CreateCrashEntry(name, report) => {
+                    self.create_crash_entry(&name, &report).await;
                 }
-                Write::RemoveCrashReport(name, revision) => {
-                    self.remove_crash_report(&name, revision).await;
+                Write::RemoveCrashEntry(name, revision) => {
+                    self.remove_crash_entry(&name, revision).await;
                 }
                 Write::UpdateRollout(rollout) => self.update_rollout(&rollout).await,
                 Write::RemoveHost(done) => {
@@ -202,26 +202,32 @@
         }
     }
 
-    /// Attempts the write once; the control thread retries if the store does not show the report.
-    async fn create_crash_report(&mut self, name: &str, report: &crashes::Report) {
-        let result = match value::to_raw_value(report) {
+    /// Attempts the write once; the control thread retries if the store does not show the entry.
+    async fn create_crash_entry(&mut self, name: &str, entry: &crashes::Entry) {
+        let result = match value::to_raw_value(entry) {
             Ok(spec) => self.store.create(object::Kind::CrashReports, name, spec).await,
             Err(error) => Err(store::StoreError::Malformed(error.to_string())),
         };
         self.metrics.record_store_call("crash_report", result.is_err());
-        match result {
-            Ok(_) | Err(store::StoreError::Conflict(_)) => log::warn!(
-                target: "toucanwall", report = name, server = report.server.as_str(),
-                contents = report.content_hashes.len(); "server ended under requests; reported"
-            ),
-            Err(error) => log::warn!(
-                target: "toucanwall", report = name, server = report.server.as_str(),
-                why = error.to_string(); "cannot report that a server ended under requests"
+        match (result, entry) {
+            (Ok(_) | Err(store::StoreError::Conflict(_)), crashes::Entry::Crash(report)) => {
+                log::warn!(
+                    target: "toucanwall", report = name, server = report.server.as_str(),
+                    contents = report.content_hashes.len(), suspects = report.suspects.len();
+                    "server ended under requests; reported"
+                );
+            }
+            (Ok(_) | Err(store::StoreError::Conflict(_)), _) => {
+                log::info!(target: "toucanwall", entry = name; "conclusion about crashes reported");
+            }
+            (Err(error), _) => log::warn!(
+                target: "toucanwall", entry = name, why = error.to_string();
+                "cannot write an entry about crashes"
             ),
         }
     }
 
-    async fn remove_crash_report(&mut self, name: &str, revision: u64) {
+    async fn remove_crash_entry(&mut self, name: &str, revision: u64) {
         let result = self.store.delete(object::Kind::CrashReports, name, revision).await;
         self.metrics.record_store_call("crash_report", result.is_err());
         if let Err(error) = result {
--- a/crates/policy/src/crash_history.rs
+++ b/crates/policy/src/crash_history.rs
@@ -22,6 +22,10 @@
 pub const CRASH_TTL_MS: u64 = 3_600_000;
 /// Maximum number of contents under which a server ended.
 const MAX_SUSPECTS: usize = 16_384;
+/// Part of the contents that is forgotten at once if there is no room for another one.
+const EVICTED_FRACTION: usize = 16;
+/// Maximum number of runs of servers that ended for a known reason.
+const MAX_EXCUSED: usize = 1_024;
 /// Maximum number of contents in each of the two generations of successful ones.
 const MAX_SUCCEEDED: usize = 8_192;
 
@@ -56,6 +60,8 @@
     /// once the newer is full.
     succeeded: collections::BTreeSet<u64>,
     succeeded_before: collections::BTreeSet<u64>,
+    /// Runs of servers that ended for a known reason, of which no content is a suspect.
+    excused: collections::BTreeSet<ServerRun>,
 }
 
 impl CrashHistory {
@@ -98,6 +104,9 @@
     /// Records that a run of a server ended under a content; returns whether that is news which
     /// other hosts should learn.
     pub fn record_crash(&mut self, content_hash: u64, run: ServerRun, now_ms: u64) -> bool {
+        if self.excused.contains(&run) {
+            return false;
+        }
         if !self.crashes.contains_key(&content_hash) {
             self.make_room(now_ms);
         }
@@ -106,6 +115,20 @@
         is_new && !self.has_succeeded(content_hash)
     }
 
+    /// Takes the crashes of these runs out of all accounts, since a part of prompts caused them.
+    pub fn excuse(&mut self, runs: &[ServerRun]) {
+        for run in runs {
+            if self.excused.len() >= MAX_EXCUSED {
+                self.excused.pop_first();
+            }
+            self.excused.insert(run.clone());
+            for crashes in self.crashes.values_mut() {
+                crashes.remove(run);
+            }
+        }
+        self.crashes.retain(|_, crashes| !crashes.is_empty());
+    }
+
     fn has_succeeded(&self, content_hash: u64) -> bool {
         self.succeeded.contains(&content_hash) || self.succeeded_before.contains(&content_hash)
     }
@@ -116,12 +139,19 @@
         }
         let is_recent = |at_ms: &u64| now_ms < at_ms + CRASH_TTL_MS;
         self.crashes.retain(|_, runs| runs.values().any(is_recent));
-        if self.crashes.len() >= MAX_SUSPECTS {
-            // Most suspects are innocent and have been in flight at a single crash.
-            self.crashes.retain(|_, runs| runs.len() > 1);
+        if self.crashes.len() < MAX_SUSPECTS {
+            return;
         }
-        if self.crashes.len() >= MAX_SUSPECTS {
-            self.crashes.pop_first();
+        // Contents under which many servers ended stay; most others have been in flight at a single
+        // crash and are innocent.
+        let weight_of = |runs: &collections::BTreeMap<ServerRun, u64>| {
+            (runs.len(), runs.values().max().copied())
+        };
+        let mut by_weight: Vec<_> =
+            self.crashes.iter().map(|(hash, runs)| (weight_of(runs), *hash)).collect();
+        by_weight.sort_unstable();
+        for (_, content_hash) in by_weight.iter().take(MAX_SUSPECTS / EVICTED_FRACTION) {
+            self.crashes.remove(content_hash);
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod canary;
 pub mod cascade;
 pub mod connections;
+pub mod crash_causes;
 pub mod crash_history;
 pub mod eligibility;
 pub mod escalation;
--- a/crates/policy/tests/crash_history.rs
+++ b/crates/policy/tests/crash_history.rs
@@ -80,3 +80,20 @@
     }
     assert!(matches!(history.verdict(CONTENT, 10), Verdict::Blocked { .. }));
 }
+
+#[rstest]
+fn many_innocent_contents_push_out_no_blocked_one() {
+    let mut history = history_with(3);
+    for content in 1_000..40_000 {
+        history.record_crash(content, run(9), 1_000);
+    }
+    assert!(matches!(history.verdict(CONTENT, 1_000), Verdict::Blocked { .. }));
+}
+
+#[rstest]
+fn crash_with_a_known_cause_is_held_against_no_content() {
+    let mut history = history_with(3);
+    history.excuse(&[run(1)]);
+    assert!(!history.record_crash(CONTENT, run(1), 10), "a late report of the same crash");
+    assert_eq!(history.verdict(CONTENT, 10), Verdict::Allowed);
+}
