Reset the connection of a caller whose stream broke off

A caller of HTTP/1.0 gets no chunks, so the end of its connection is the end of the answer: a stream that broke off after three events looked complete to it.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -15,6 +15,7 @@
 use toucanwall_routing::name;
 use toucanwall_routing::view;
 
+use crate::caller_stream;
 use crate::exchange;
 use crate::state;
 use crate::stream;
@@ -117,9 +118,11 @@
     let idle_timeout_ms = limits.map_or(IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
     let header_max_bytes =
         limits.map_or(HEADER_MAX_BYTES, |limits| limits.header_max_bytes.max(HEADER_MAX_BYTES));
+    let reset_switch = caller_stream::ResetSwitch::default();
+    let stream = caller_stream::CallerStream::new(stream, reset_switch.clone());
     let service = hyper::service::service_fn(move |request| {
-        let state = Arc::clone(&state);
-        async move { Ok::<_, std::convert::Infallible>(serve(state, request).await) }
+        let (state, reset_switch) = (Arc::clone(&state), reset_switch.clone());
+        async move { Ok::<_, std::convert::Infallible>(serve(state, request, reset_switch).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder
@@ -146,6 +149,7 @@
 async fn serve(
     state: Arc<state::GatewayState>,
     request: hyper::Request<hyper::body::Incoming>,
+    reset_switch: caller_stream::ResetSwitch,
 ) -> hyper::Response<Body> {
     let open_request = OpenRequest::new(&state);
     let received_at_ms = state.clock.now_ms();
@@ -172,7 +176,7 @@
     let attempt_id = Arc::clone(&head.attempt_id);
     let view = state.view();
     let mut response = match admit(&state, &view, head, parts, body, received_at_ms) {
-        Ok(exchange) => respond(exchange, open_request, received_at_ms).await,
+        Ok(exchange) => respond(exchange, open_request, received_at_ms, reset_switch).await,
         Err(rejection) => reject(&state, &attempt_id, rejection),
     };
     if state.lifecycle.stage() > state::Stage::Serving {
@@ -243,6 +247,7 @@
     exchange: exchange::Exchange,
     open_request: OpenRequest,
     received_at_ms: u64,
+    reset_switch: caller_stream::ResetSwitch,
 ) -> hyper::Response<Body> {
     let state = Arc::clone(&exchange.state);
     let attempt_id = Arc::clone(&exchange.head.attempt_id);
@@ -272,7 +277,7 @@
                 first_event_ms = took_ms; "stream begun"
             );
             state.metrics.record_response(stream.head().status.as_u16(), took_ms);
-            stream_response(*stream, open_request, deadline)
+            stream_response(*stream, open_request, deadline, reset_switch)
         }
         exchange::Response::Refused(refusal, reason) => {
             let (status, retry_after_ms) = (refusal.status, refusal.retry_after_ms);
@@ -294,14 +299,15 @@
     stream: stream::EventStream,
     open_request: OpenRequest,
     deadline: tokio::time::Instant,
+    reset_switch: caller_stream::ResetSwitch,
 ) -> hyper::Response<Body> {
     let mut response = hyper::Response::new(());
     *response.status_mut() = stream.head().status;
     *response.headers_mut() = response::encode(&stream.head().headers);
     let frames = futures_util::stream::unfold(
-        Some((stream, open_request)),
+        Some((stream, open_request, reset_switch)),
         move |state| async move {
-            let (mut stream, open_request) = state?;
+            let (mut stream, open_request, reset_switch) = state?;
             let next = match tokio::time::timeout_at(deadline, stream.next()).await {
                 Ok(next) => next?,
                 Err(_elapsed) => Err(stream.expire()),
@@ -309,9 +315,10 @@
             if let Err(error) = &next {
                 let request = stream.exchange().map(|exchange| &*exchange.head.attempt_id);
                 log::warn!(target: "toucanwall", request = request, why = error.to_string(); "stream broken off");
+                reset_switch.set();
                 return Some((next.map(hyper::body::Frame::data), None));
             }
-            Some((next.map(hyper::body::Frame::data), Some((stream, open_request))))
+            Some((next.map(hyper::body::Frame::data), Some((stream, open_request, reset_switch))))
         },
     );
     response.map(|()| http_body_util::StreamBody::new(frames).boxed_unsync())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! decisions are made by the pure modules of `toucanwall-policy` and `toucanwall-routing`.
 
 mod attempt;
+mod caller_stream;
 mod change_feed;
 mod clock;
 mod control;
