Judge streams by their events: slow ones, stalled ones, and ends before the first event

Three faults of one rule, when a stream counts as stalled or complete; each has a test in connection_ends.rs that failed before: - A stream that cannot be resumed was cut after a pause of 1.5 s, although callers wait for at least 2 s and no other server can go on (slow_stream_that_cannot_be_resumed_is_not_cut). - A server that sent a comment now and then held its caller until the deadline; only events that are more than comments now count as progress (stream_that_sends_only_comments_is_resumed). - A response without length or chunks that ended before its first event passed as complete, as when its server crashes; it is now a break (unframed_stream_that_breaks_off_is_resumed, case 4). Ends within an event, resets between events and breaks before the first one were right already.

--- /dev/null
+++ b/crates/daemon/tests/connection_ends.rs
@@ -0,0 +1,153 @@
+//! Responses that end with their connection, and streams that are slow, stall or break off.
+
+mod gateway_fleet;
+
+use std::time;
+
+use gateway_fleet::GatewayFleet;
+use rstest::rstest;
+use tokio::io::AsyncReadExt as _;
+use toucanwall_platform_standin::backend;
+use toucanwall_platform_standin::backend::Behaviour;
+use toucanwall_platform_standin::backend::Ending;
+
+const LAST: u64 = 6;
+const ALL_EVENTS: [u64; 6] = [1, 2, 3, 4, 5, 6];
+
+/// A host and two model engines; streams may be resumed if `is_resumable`.
+async fn start(is_resumable: bool) -> (GatewayFleet, Vec<backend::Backend>) {
+    let mut servers = Vec::new();
+    for number in 0..2 {
+        let behaviour = Behaviour::Stream { last: LAST };
+        servers.push(backend::Backend::start(&format!("s-{number}"), behaviour).await);
+    }
+    let mut fleet = GatewayFleet::prepare().await;
+    let mut configuration = gateway_fleet::configuration(2);
+    configuration["routes"][2]["resumable"] = is_resumable.into();
+    fleet.store.put("config", "main", &configuration);
+    for server in &servers {
+        fleet.register("engines", server, "ready");
+    }
+    fleet.add_ready_host().await;
+    (fleet, servers)
+}
+
+/// Lets the server that gets the next request treat it in this way.
+fn enqueue(servers: &[backend::Backend], behaviour: &Behaviour) {
+    for server in servers {
+        server.enqueue([behaviour.clone()]);
+    }
+}
+
+fn runs(servers: &[backend::Backend]) -> usize {
+    servers.iter().map(|server| server.executed().len()).sum()
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_stream_that_ends_between_events_is_complete() {
+    let (fleet, servers) = start(true).await;
+    enqueue(&servers, &Behaviour::UnframedStream { last: LAST, ending: Ending::Close });
+    let response = fleet.send(0, "POST", "/chat/x", &[]).await.expect("a response");
+    assert!(response.is_complete);
+    assert_eq!(gateway_fleet::event_numbers(&response.body), ALL_EVENTS);
+    assert_eq!(runs(&servers), 1);
+}
+
+#[rstest]
+#[case::within_an_event(3, Ending::CloseWithinEvent)]
+#[case::reset_between_events(3, Ending::Reset)]
+#[case::within_the_first_event(0, Ending::CloseWithinEvent)]
+#[case::before_the_first_event(0, Ending::Close)]
+#[case::reset_before_the_first_event(0, Ending::Reset)]
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_stream_that_breaks_off_is_resumed(#[case] last: u64, #[case] ending: Ending) {
+    let (fleet, servers) = start(true).await;
+    let behaviour = Behaviour::UnframedStream { last, ending };
+    for server in &servers {
+        server.enqueue([behaviour.clone()]);
+    }
+    // The second server breaks off as well; the third attempt goes to neither.
+    let third = backend::Backend::start("s-2", Behaviour::Stream { last: LAST }).await;
+    fleet.register("engines", &third, "ready");
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let response = fleet.send(0, "POST", "/chat/x", &[]).await.expect("a response");
+    assert!(response.is_complete, "{}", fleet.log(0));
+    assert_eq!(gateway_fleet::event_numbers(&response.body), ALL_EVENTS, "{}", fleet.log(0));
+}
+
+#[rstest]
+#[case::within_an_event(Ending::CloseWithinEvent)]
+#[case::reset(Ending::Reset)]
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_stream_that_cannot_be_resumed_does_not_look_complete(#[case] ending: Ending) {
+    let (fleet, servers) = start(false).await;
+    enqueue(&servers, &Behaviour::UnframedStream { last: 3, ending });
+    let response = fleet.send(0, "POST", "/chat/x", &[]).await.expect("a response");
+    assert_eq!(response.status, 200);
+    assert!(!response.is_complete, "{}", fleet.log(0));
+    assert_eq!(gateway_fleet::event_numbers(&response.body), [1, 2, 3]);
+}
+
+/// Reads to the end of a connection; returns the bytes and whether the end was clean.
+async fn read_to_end(mut stream: tokio::net::TcpStream) -> (String, bool) {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(0) => return (String::from_utf8_lossy(&bytes).into_owned(), true),
+            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+            Err(_) => return (String::from_utf8_lossy(&bytes).into_owned(), false),
+        }
+    }
+}
+
+#[rstest]
+#[case::complete(Behaviour::Stream { last: LAST }, true)]
+#[case::broken_off(Behaviour::TruncateStream { after: 3 }, false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_without_chunks_can_tell_a_stream_that_broke_off(
+    #[case] behaviour: Behaviour,
+    #[case] is_complete: bool,
+) {
+    let (fleet, servers) = start(false).await;
+    enqueue(&servers, &behaviour);
+    let request = format!(
+        "POST /chat/x HTTP/1.0\r\nhost: site.example\r\nx-toucanwall-attempt-id: old\r\n\
+         authorization: Token {}\r\ncontent-length: 0\r\n\r\n",
+        gateway_fleet::KEY
+    );
+    let (text, is_clean) = read_to_end(fleet.send_raw(0, &request).await).await;
+    assert!(text.contains(" 200 "), "{text}");
+    assert_eq!(is_clean, is_complete, "{text}");
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_stream_that_cannot_be_resumed_is_not_cut() {
+    let (fleet, servers) = start(false).await;
+    // Longer than the pause after which a stream is resumed elsewhere, and shorter than that after
+    // which callers leave.
+    let pause = time::Duration::from_millis(1_700);
+    enqueue(&servers, &Behaviour::SlowStream { last: 1, pause });
+    let response = fleet.send(0, "POST", "/chat/x", &[]).await.expect("a response");
+    assert!(response.is_complete, "{}", fleet.log(0));
+    assert_eq!(gateway_fleet::event_numbers(&response.body), [1]);
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_sends_only_comments_is_resumed() {
+    let pause = time::Duration::from_millis(200);
+    let stalling =
+        backend::Backend::start("s-0", Behaviour::CommentStream { after: 3, pause }).await;
+    let fleet = GatewayFleet::start(1, &[("engines", &stalling)]).await;
+    let request = fleet.prepare_request(0, "POST", "/chat/x", "stalled");
+    let response = tokio::spawn(request.send());
+    tokio::time::sleep(time::Duration::from_millis(100)).await;
+    let sound = backend::Backend::start("s-1", Behaviour::Stream { last: LAST }).await;
+    fleet.register("engines", &sound, "ready");
+    let response = response.await.expect("no panic").expect("a response");
+    assert!(response.is_complete, "{}", fleet.log(0));
+    assert_eq!(gateway_fleet::event_numbers(&response.body), ALL_EVENTS, "{}", fleet.log(0));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -337,6 +337,12 @@
         }
     }
 
+    /// Whether the end of the connection is the end of the response.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        self.framing == Framing::ConnectionEnd
+    }
+
     /// Lets a break of the stream that has begun count as evidence on the server's version.
     pub fn count_break(&mut self) {
         self.counts_break = true;
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -11,6 +11,8 @@
     /// Bytes of an incomplete event.
     buffer: Vec<u8>,
     last_id: Option<u64>,
+    /// Number of complete events, without those that consist of comments.
+    events: u64,
 }
 
 /// Error in a stream of events.
@@ -35,7 +37,7 @@
     /// from the beginning.
     #[must_use]
     pub fn resume_after(last_id: Option<u64>) -> Self {
-        Self { buffer: Vec::new(), last_id }
+        Self { buffer: Vec::new(), last_id, events: 0 }
     }
 
     /// Appends bytes and returns the events that are now complete.
@@ -49,6 +51,8 @@
             if let Some(id) = event_id(&self.buffer[complete_len..complete_len + end]) {
                 self.advance_to(id)?;
             }
+            let event = &self.buffer[complete_len..complete_len + end];
+            self.events += u64::from(!is_comment(event));
             complete_len += end;
         }
         if self.buffer.len() - complete_len > EVENT_MAX_BYTES {
@@ -64,6 +68,12 @@
         self.last_id
     }
 
+    /// Returns the number of complete events so far, without those that consist of comments.
+    #[must_use]
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Returns whether no event is incomplete.
     #[must_use]
     pub fn is_at_boundary(&self) -> bool {
@@ -93,6 +103,12 @@
         .map(|start| start + if bytes[start] == b'\r' { 2 } else { 1 })
 }
 
+/// Returns whether an event has no fields, only comments or empty lines.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.all(|line| line.is_empty() || line.starts_with(b":"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
     let mut lines = text.lines().filter(|line| !response::is_weight_versions_line(line));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,6 +5,7 @@
 use http_body_util::BodyExt as _;
 use toucanwall_platform::response;
 use toucanwall_policy::placement;
+use toucanwall_routing::configuration;
 
 use crate::attempt;
 use crate::exchange;
@@ -13,6 +14,12 @@
 
 /// Multiple of the route's target pause between events after which a stream times out.
 const IDLE_TIMEOUT_FACTOR: u64 = 3;
+/// Multiple of the route's target pause between events after which callers leave a stream.
+const CALLER_PAUSE_FACTOR: u64 = 8;
+/// Multiple of the route's target latency after which callers leave a stream.
+const CALLER_LATENCY_FACTOR: u64 = 4;
+/// Minimum pause between events after which callers leave a stream, in milliseconds.
+const CALLER_PAUSE_MIN_MS: u64 = 2_000;
 /// Minimum pause between events after which a stream times out, in milliseconds.
 const IDLE_TIMEOUT_MIN_MS: u64 = 1_500;
 
@@ -25,6 +32,8 @@
     splitter: sse::EventSplitter,
     exchange: Option<exchange::Exchange>,
     last_event_at: tokio::time::Instant,
+    /// When an event arrived that is more than a comment, or the stream was resumed.
+    last_progress_at: tokio::time::Instant,
     longest_pause: time::Duration,
 }
 
@@ -92,6 +101,7 @@
             splitter,
             exchange: None,
             last_event_at: tokio::time::Instant::now(),
+            last_progress_at: tokio::time::Instant::now(),
             longest_pause: time::Duration::ZERO,
         })
     }
@@ -167,12 +177,19 @@
     }
 
     async fn advance(&mut self) -> Step {
-        let timeout = self.idle_timeout();
+        // Comments show that the connection works, not that the server makes progress.
+        let timeout = self.idle_timeout().saturating_sub(self.last_progress_at.elapsed());
         let Some(upstream) = &mut self.upstream else {
             return Step::End;
         };
+        let events_before = self.splitter.events();
         match upstream.next(&mut self.splitter, timeout).await {
-            Ok(UpstreamItem::Events(bytes)) => Step::Forward(bytes),
+            Ok(UpstreamItem::Events(bytes)) => {
+                if self.splitter.events() > events_before {
+                    self.last_progress_at = tokio::time::Instant::now();
+                }
+                Step::Forward(bytes)
+            }
             Ok(UpstreamItem::End) => {
                 if let Some(upstream) = self.upstream.take() {
                     upstream.finish();
@@ -204,6 +221,7 @@
             Ok(opened) => {
                 let attempt::OpenResponse { head, body, connection, in_flight, .. } = opened;
                 self.splitter = sse::EventSplitter::resume_after(exchange.last_event_id);
+                self.last_progress_at = tokio::time::Instant::now();
                 self.upstream = Some(Upstream { head, body, connection, in_flight });
                 Step::Forward(bytes::Bytes::new())
             }
@@ -215,8 +233,16 @@
         let Some(exchange) = &self.exchange else {
             return time::Duration::from_millis(IDLE_TIMEOUT_MIN_MS);
         };
-        let pause_ms = exchange.route.target_inter_event_ms.unwrap_or(IDLE_TIMEOUT_MIN_MS);
-        let timeout_ms = (pause_ms * IDLE_TIMEOUT_FACTOR).max(IDLE_TIMEOUT_MIN_MS);
+        let route = &exchange.route;
+        let pause_ms = route.target_inter_event_ms.unwrap_or(IDLE_TIMEOUT_MIN_MS);
+        let timeout_ms = if route.idempotency == configuration::Idempotency::Resumable {
+            (pause_ms * IDLE_TIMEOUT_FACTOR).max(IDLE_TIMEOUT_MIN_MS)
+        } else {
+            // No other server can go on, so the stream may take as long as its caller waits.
+            (pause_ms * CALLER_PAUSE_FACTOR)
+                .max(route.target_latency_ms * CALLER_LATENCY_FACTOR)
+                .max(CALLER_PAUSE_MIN_MS)
+        };
         time::Duration::from_millis(timeout_ms.min(exchange.remaining_ms()))
     }
 }
@@ -232,11 +258,21 @@
         loop {
             let frame = match tokio::time::timeout_at(until, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(None) if splitter.is_at_boundary() => return Ok(UpstreamItem::End),
-                Ok(None) => {
+                Ok(None) if !splitter.is_at_boundary() => {
                     let reason = "stream ended within an event".to_owned();
                     return Err(self.in_flight.record_break(reason).await);
                 }
+                // The end of the connection before the first event is no answer. A resumed stream may
+                // have no events left.
+                Ok(None)
+                    if splitter.last_id().is_none()
+                        && splitter.events() == 0
+                        && self.in_flight.ends_with_connection() =>
+                {
+                    let reason = "connection ended before the first event".to_owned();
+                    return Err(self.in_flight.record_break(reason).await);
+                }
+                Ok(None) => return Ok(UpstreamItem::End),
                 Ok(Some(Err(error))) => {
                     return Err(self.in_flight.record_break(error.to_string()).await);
                 }
