Answer requests on connections that a stopping host has just accepted

When a host stopped accepting, it closed the socket with connections waiting in its queue, which reset them, and shut down connections from which it had not read yet. Under load, 0 to 9 of some 2,500 callers with new connections got no answer (8 of 9 runs of accepted_requests_are_answered_until_the_host_is_gone failed). The queue is now emptied before the socket is closed, and open connections are read for 500 ms more; a request that comes there gets 503, with the connection closed after it.

--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -54,28 +54,28 @@
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
-        context: &mut task::Context<'_>,
-        buffer: &mut tokio::io::ReadBuf<'_>,
+        cx: &mut task::Context<'_>,
+        buf: &mut tokio::io::ReadBuf<'_>,
     ) -> task::Poll<std::io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_read(context, buffer)
+        pin::Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
 
 impl AsyncWrite for CallerStream {
     fn poll_write(
         mut self: pin::Pin<&mut Self>,
-        context: &mut task::Context<'_>,
-        bytes: &[u8],
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
     ) -> task::Poll<std::io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write(context, bytes)
+        pin::Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
         mut self: pin::Pin<&mut Self>,
-        context: &mut task::Context<'_>,
-        slices: &[std::io::IoSlice<'_>],
+        cx: &mut task::Context<'_>,
+        bufs: &[std::io::IoSlice<'_>],
     ) -> task::Poll<std::io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -84,19 +84,19 @@
 
     fn poll_flush(
         mut self: pin::Pin<&mut Self>,
-        context: &mut task::Context<'_>,
+        cx: &mut task::Context<'_>,
     ) -> task::Poll<std::io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(context)
+        pin::Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(
         mut self: pin::Pin<&mut Self>,
-        context: &mut task::Context<'_>,
+        cx: &mut task::Context<'_>,
     ) -> task::Poll<std::io::Result<()>> {
         // A shutdown would tell the caller that the response is complete.
         if self.reset_switch.is_set() {
             return task::Poll::Ready(Ok(()));
         }
-        pin::Pin::new(&mut self.stream).poll_shutdown(context)
+        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -31,6 +31,9 @@
 /// Time for which the rest of a body is read and discarded after an early response, in
 /// milliseconds.
 const LINGER_MS: u64 = 2_000;
+/// Time for which a stopping host waits for requests on connections that it has accepted, in
+/// milliseconds.
+pub const UNREAD_MS: u64 = 500;
 /// Retry-after time while this host has not loaded the state of the deployment, in milliseconds.
 const RETRY_NOT_READY_MS: u64 = 500;
 /// Retry-after time for a caller that should use another host, in milliseconds.
@@ -49,6 +52,10 @@
 #[derive(Debug)]
 struct OpenRequest(Arc<state::GatewayState>);
 
+/// Guard that counts a connection as open until it is dropped.
+#[derive(Debug)]
+struct OpenConnection(Arc<state::GatewayState>);
+
 /// Response to a request that is not admitted or not run.
 #[derive(Debug, Clone, Copy)]
 struct Rejection {
@@ -76,19 +83,30 @@
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
-                _ = closing.wait_for(|is_closing| *is_closing) => return,
+                _ = closing.wait_for(|is_closing| *is_closing) => break,
             };
             match accepted {
-                Ok((stream, _)) => {
-                    let state = Arc::clone(&self.state);
-                    tokio::spawn(serve_connection(state, stream, closing.clone()));
-                }
+                Ok((stream, _)) => start_serving(&self.state, stream, &closing),
                 Err(error) => {
                     log::warn!(target: "toucanwall", "cannot accept a connection: {error}");
                     tokio::time::sleep(time::Duration::from_millis(10)).await;
                 }
             }
         }
+        // Closing the socket resets connections that are established and wait to be accepted.
+        // The runtime may not know of the latest ones yet, so the operating system is asked.
+        let Self { state, listener } = self;
+        let Ok(listener) = listener.into_std() else { return };
+        while let Ok((stream, _)) = listener.accept() {
+            let accepted =
+                stream.set_nonblocking(true).and_then(|()| tokio::net::TcpStream::from_std(stream));
+            match accepted {
+                Ok(stream) => start_serving(&state, stream, &closing),
+                Err(error) => {
+                    log::warn!(target: "toucanwall", "cannot serve an accepted connection: {error}");
+                }
+            }
+        }
     }
 }
 
@@ -99,17 +117,40 @@
     }
 }
 
+impl OpenConnection {
+    fn new(state: &Arc<state::GatewayState>) -> Self {
+        state.open_connections.fetch_add(1, atomic::Ordering::Relaxed);
+        Self(Arc::clone(state))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.0.open_requests.fetch_sub(1, atomic::Ordering::Relaxed);
     }
 }
 
+fn start_serving(
+    state: &Arc<state::GatewayState>,
+    stream: tokio::net::TcpStream,
+    closing: &tokio::sync::watch::Receiver<bool>,
+) {
+    let open_connection = OpenConnection::new(state);
+    tokio::spawn(serve_connection(open_connection, stream, closing.clone()));
+}
+
 async fn serve_connection(
-    state: Arc<state::GatewayState>,
+    open_connection: OpenConnection,
     stream: tokio::net::TcpStream,
     mut closing: tokio::sync::watch::Receiver<bool>,
 ) {
+    let state = Arc::clone(&open_connection.0);
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "toucanwall", "cannot set TCP_NODELAY: {error}");
         return;
@@ -138,8 +179,15 @@
     let ended = if let Err(ended) = event {
         ended
     } else {
-        connection.as_mut().graceful_shutdown();
-        connection.await
+        // A request may be on its way; its response closes the connection.
+        let unread = time::Duration::from_millis(UNREAD_MS);
+        match tokio::time::timeout(unread, connection.as_mut()).await {
+            Ok(ended) => ended,
+            Err(_elapsed) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        }
     };
     if let Err(error) = ended {
         log::debug!(target: "toucanwall", "connection from caller ended with an error: {error}");
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -223,8 +223,8 @@
     state.lifecycle.advance(state::Stage::Draining);
     shutdown.send_replace(true);
     let abort_ms = started_ms + grace_ms * ABORT_PERCENT / 100;
-    while state.open_requests.load(atomic::Ordering::Relaxed) > 0 && state.clock.now_ms() < abort_ms
-    {
+    let unread_until_ms = (state.clock.now_ms() + ingress::UNREAD_MS).min(abort_ms);
+    while has_open_work(state, unread_until_ms) && state.clock.now_ms() < abort_ms {
         tokio::time::sleep(time::Duration::from_millis(DRAIN_POLL_INTERVAL_MS)).await;
     }
     let remaining = state.open_requests.load(atomic::Ordering::Relaxed);
@@ -237,6 +237,13 @@
     }
 }
 
+/// Whether requests are open, or connections on which a request may be on its way.
+fn has_open_work(state: &state::GatewayState, unread_until_ms: u64) -> bool {
+    let may_be_unread = state.clock.now_ms() < unread_until_ms;
+    state.open_requests.load(atomic::Ordering::Relaxed) > 0
+        || may_be_unread && state.open_connections.load(atomic::Ordering::Relaxed) > 0
+}
+
 fn send_command(commands: &control::Commands, command: control::Command) {
     if commands.send(command).is_err() {
         log::error!(target: "toucanwall", "control thread has ended");
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -48,6 +48,8 @@
     pub metrics: Arc<metrics::Metrics>,
     /// Number of requests that have been received and have no complete response yet.
     pub open_requests: atomic::AtomicUsize,
+    /// Number of open connections from callers.
+    pub open_connections: atomic::AtomicUsize,
     /// Progress of the host from serving to shutdown.
     pub lifecycle: Lifecycle,
     retry_quotas: Mutex<collections::BTreeMap<name::ServiceName, retry_quota::RetryQuota>>,
@@ -98,6 +100,7 @@
             crashes,
             metrics,
             open_requests: atomic::AtomicUsize::new(0),
+            open_connections: atomic::AtomicUsize::new(0),
             lifecycle: Lifecycle::default(),
             retry_quotas: Mutex::new(collections::BTreeMap::new()),
             forecasts: Mutex::new(collections::BTreeMap::new()),
