Let engines of the soak crash under a part of prompts

A service of its own with three engines that crash 60 ms after they begin to answer a prompt with one part, a sixth of all requests; they restart after 700 ms while hosts are paused, killed, stopped and cut off as before. Checked at the end: at most three more of these requests reach engines once the faults are over for twice the contact time, and each host serves the other parts.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -27,6 +27,28 @@
 const HOST_COUNT: usize = 5;
 const DESK_COUNT: usize = 3;
 const ENGINE_COUNT: usize = 3;
+/// Engines of a service of which all servers crash under a part of a prompt.
+const FRAGILE_COUNT: usize = 3;
+/// Service of these engines.
+const FRAGILE_SERVICE: &str = "fragile";
+/// First part of all prompts.
+const FIRST_PART: &str = "f1f1";
+/// Part under which engines crash.
+const CRASHING_PART: &str = "bad0";
+/// Prefix of the ids of requests with that part.
+const CRASHING_ID: &str = "bad-";
+/// Parts of prompts that crash nothing.
+const SOUND_PARTS: u64 = 5;
+/// Time from the head of a response to the crash.
+const CRASH_DELAY: time::Duration = time::Duration::from_millis(60);
+/// Time after which a crashed engine is back.
+const DOWNTIME: time::Duration = time::Duration::from_millis(700);
+/// Crashes from which a part may reach servers only a few times more.
+const CRASH_LIMIT: usize = 5;
+/// Requests with the part that may reach servers after that.
+const LATE_SENDS_MAX: usize = 3;
+/// Time for which requests with the part are counted at the end.
+const COUNTED_TIME: time::Duration = time::Duration::from_secs(2);
 /// Path of non-idempotent requests.
 const BOOKING_PATH: &str = "/book/x";
 const LAST_EVENT: u64 = 6;
@@ -43,11 +65,27 @@
 
 type Rng = rand_chacha::ChaCha8Rng;
 
+/// The test configuration with a route to the engines that crash.
+fn configuration(version: u64) -> serde_json::Value {
+    let mut configuration = gateway_fleet::configuration(version);
+    let mut route = configuration["routes"][2].clone();
+    route["name"] = "r-fragile".into();
+    route["path_prefix"] = "/lab/".into();
+    route["service"] = FRAGILE_SERVICE.into();
+    let mut service = configuration["services"][1].clone();
+    service["name"] = FRAGILE_SERVICE.into();
+    configuration["routes"].as_array_mut().expect("a list").push(route);
+    configuration["services"].as_array_mut().expect("a list").push(service);
+    configuration
+}
+
 /// A gateway fleet that reaches the backend servers and the store through proxies.
 struct Deployment {
     fleet: tokio::sync::RwLock<GatewayFleet>,
     desks: Vec<backend::Backend>,
     engines: Vec<backend::Backend>,
+    /// Engines that crash under [`CRASHING_PART`]; hosts reach them without a proxy.
+    fragile_engines: Vec<backend::Backend>,
     proxies: Vec<proxy::Proxy>,
     store_proxy: proxy::Proxy,
     violations: Mutex<Vec<String>>,
@@ -75,7 +113,7 @@
         let mut fleet = GatewayFleet::prepare().await;
         let store_proxy = proxy::Proxy::start(fleet.store.address).await;
         fleet.store_address = store_proxy.address;
-        fleet.store.put("config", "main", &gateway_fleet::configuration(2));
+        fleet.store.put("config", "main", &configuration(2));
         let (mut desks, mut engines, mut proxies) = (Vec::new(), Vec::new(), Vec::new());
         for number in 0..DESK_COUNT + ENGINE_COUNT {
             let (service, default_behaviour) = if number < DESK_COUNT {
@@ -89,6 +127,14 @@
             proxies.push(proxy);
             if number < DESK_COUNT { desks.push(server) } else { engines.push(server) }
         }
+        let mut fragile_engines = Vec::new();
+        for number in 0..FRAGILE_COUNT {
+            let behaviour = Behaviour::Stream { last: LAST_EVENT };
+            let server = backend::Backend::start(&format!("f-{number}"), behaviour).await;
+            server.crash_on_part(CRASHING_PART, CRASH_DELAY, DOWNTIME);
+            fleet.register_run(FRAGILE_SERVICE, &server, 1);
+            fragile_engines.push(server);
+        }
         for _ in 0..HOST_COUNT {
             fleet.add_host();
         }
@@ -99,6 +145,7 @@
             fleet: tokio::sync::RwLock::new(fleet),
             desks,
             engines,
+            fragile_engines,
             proxies,
             store_proxy,
             violations: Mutex::new(Vec::new()),
@@ -128,24 +175,64 @@
         let mut number = 0;
         while !self.is_finished.load(atomic::Ordering::SeqCst) {
             number += 1;
-            let id = format!("c{caller}-{number}");
+            let part = rng.random_range(0..SOUND_PARTS + 1);
+            let is_crashing = part == SOUND_PARTS;
+            let id = format!("{}c{caller}-{number}", if is_crashing { CRASHING_ID } else { "" });
             let host = rng.random_range(0..HOST_COUNT);
-            let (method, path) = [("GET", "/read/x"), ("POST", BOOKING_PATH), ("POST", "/chat/x")]
-                [rng.random_range(0..3)];
+            let (method, path) = [
+                ("GET", "/read/x"),
+                ("POST", BOOKING_PATH),
+                ("POST", "/chat/x"),
+                ("POST", "/lab/x"),
+            ][rng.random_range(0..4)];
+            let (path, prompt) = if is_crashing {
+                (format!("/lab/{id}"), format!("{FIRST_PART}:9,{CRASHING_PART}:9,a{number:x}:9"))
+            } else {
+                (path.to_owned(), format!("{FIRST_PART}:9,d{part}:9,a{number:x}:9"))
+            };
+            let method = if is_crashing { "POST" } else { method };
             self.requests_sent.fetch_add(1, atomic::Ordering::SeqCst);
             let response = {
                 let fleet = self.fleet.read().await;
-                let request = fleet.prepare_request(host, method, path, &id);
+                let headers = prompt_headers(&prompt);
+                let request = fleet.prepare_request_with(host, method, &path, &id, &headers);
                 drop(fleet);
                 tokio::time::timeout(time::Duration::from_secs(8), request.send()).await
             };
             if let Ok(Some(response)) = response {
-                self.check_response(path, &id, &response);
+                self.check_response(&path, &id, &response);
             }
             tokio::time::sleep(time::Duration::from_millis(rng.random_range(1..15))).await;
         }
     }
 
+    /// Registers each run of the engines that crash.
+    async fn follow_engines(self: Arc<Self>) {
+        let mut registered = [0; FRAGILE_COUNT];
+        while !self.is_finished.load(atomic::Ordering::SeqCst) {
+            for (engine, registered) in self.fragile_engines.iter().zip(&mut registered) {
+                let crashes = engine.crashes();
+                if crashes > *registered {
+                    tokio::time::sleep(DOWNTIME).await;
+                    *registered = crashes;
+                    let born = u64::try_from(crashes).expect("a small number") + 1;
+                    self.fleet.read().await.register_run(FRAGILE_SERVICE, engine, born);
+                }
+            }
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    }
+
+    fn crashes(&self) -> usize {
+        self.fragile_engines.iter().map(backend::Backend::crashes).sum()
+    }
+
+    /// Requests with the part that crashes engines that reached one of them after `since`.
+    fn crashing_arrivals(&self, since: time::Instant) -> usize {
+        let arrivals = self.fragile_engines.iter().flat_map(backend::Backend::arrivals);
+        arrivals.filter(|it| it.at > since && it.attempt_id.starts_with(CRASHING_ID)).count()
+    }
+
     fn check_response(&self, path: &str, id: &str, response: &gateway_fleet::Response) {
         let claims_not_executed = [408, 421, 429, 503].contains(&response.status);
         if claims_not_executed && path == BOOKING_PATH && self.bookings().contains_key(id) {
@@ -162,7 +249,7 @@
                 "{id} received the response to another request: {response:?}"
             ));
         }
-        if path == "/chat/x" {
+        if path.starts_with("/chat/") || path.starts_with("/lab/") {
             let numbers = gateway_fleet::event_numbers(&response.body);
             let expected: Vec<u64> = (1..=LAST_EVENT).collect();
             let is_expected = if response.is_complete {
@@ -261,6 +348,10 @@
     }
 }
 
+fn prompt_headers(prompt: &str) -> [(&'static str, &str); 2] {
+    [("x-toucanwall-prefix-hash", prompt), ("x-toucanwall-token-count", "27,40")]
+}
+
 fn random_fault(rng: &mut Rng) -> Fault {
     let host = rng.random_range(0..HOST_COUNT);
     let server = rng.random_range(0..DESK_COUNT + ENGINE_COUNT);
@@ -308,8 +399,11 @@
     let callers: Vec<_> = (1..=CALLER_COUNT)
         .map(|caller| tokio::spawn(Arc::clone(&deployment).run_caller(caller, rng(caller))))
         .collect();
+    tokio::spawn(Arc::clone(&deployment).follow_engines());
     tokio::join!(inject_faults(&deployment, rng(100)), inject_faults(&deployment, rng(101)));
+    let faults_end = time::Instant::now();
     check_recovery(&deployment).await;
+    check_crashing_part(&deployment, faults_end).await;
     deployment.is_finished.store(true, atomic::Ordering::SeqCst);
     for caller in callers {
         caller.await.expect("a caller does not panic");
@@ -323,9 +417,10 @@
     }
     let (requests_sent, requests_served) = (&deployment.requests_sent, &deployment.requests_served);
     println!(
-        "seed {seed}: {} requests, {} served",
+        "seed {seed}: {} requests, {} served, {} crashes",
         requests_sent.load(atomic::Ordering::SeqCst),
-        requests_served.load(atomic::Ordering::SeqCst)
+        requests_served.load(atomic::Ordering::SeqCst),
+        deployment.crashes()
     );
     let mut violations = deployment.violations.lock().expect("the lock is not poisoned").clone();
     if !violations.is_empty() {
@@ -341,7 +436,7 @@
 async fn check_recovery(deployment: &Deployment) {
     tokio::time::sleep(SETTLE_TIME).await;
     let fleet = deployment.fleet.read().await;
-    let mut next = gateway_fleet::configuration(9);
+    let mut next = configuration(9);
     next["tenants"][1]["api_keys"] = serde_json::json!([]);
     fleet.store.put("config", "main", &next);
     tokio::time::sleep(gateway_fleet::CONFIG_APPLY_LIMIT).await;
@@ -370,6 +465,36 @@
     check_addresses(deployment, &fleet, until).await;
 }
 
+/// Checks that a part of prompts that has crashed engines reaches no more of them, and that requests
+/// which share only the other parts are served by each host.
+async fn check_crashing_part(deployment: &Deployment, faults_end: time::Instant) {
+    // Without faults, hosts have this long to learn of the crashes and to block the part.
+    let counted_from = faults_end + SETTLE_TIME * 2;
+    tokio::time::sleep_until((counted_from + COUNTED_TIME).into()).await;
+    let late = deployment.crashing_arrivals(counted_from);
+    if deployment.crashes() >= CRASH_LIMIT && late > LATE_SENDS_MAX {
+        deployment.record_violation(format!(
+            "{late} requests with the crashing part reached engines late; {} crashes",
+            deployment.crashes()
+        ));
+    }
+    let fleet = deployment.fleet.read().await;
+    for (host, part) in (0..HOST_COUNT).flat_map(|it| (0..SOUND_PARTS).map(move |part| (it, part)))
+    {
+        let prompt = format!("{FIRST_PART}:9,d{part}:9,aaaa:9");
+        let mut statuses = Vec::new();
+        while statuses.len() < 3 && !statuses.contains(&Some(200)) {
+            let response = fleet.send(host, "POST", "/lab/x", &prompt_headers(&prompt)).await;
+            statuses.push(response.map(|response| response.status));
+        }
+        if !statuses.contains(&Some(200)) {
+            deployment.record_violation(format!(
+                "host {host} responded with {statuses:?} to the sound part {part}"
+            ));
+        }
+    }
+}
+
 /// Checks that all hosts are named to callers again, also those that were taken for lost during the
 /// faults.
 async fn check_addresses(
