--- a/crates/daemon/tests/crashing_parts.rs
+++ b/crates/daemon/tests/crashing_parts.rs
@@ -40,6 +40,9 @@
 const AFTERMATH: time::Duration = time::Duration::from_secs(9);
 const CRASHES_DEADLINE: time::Duration = time::Duration::from_secs(20);
 
+/// Lets the cases run one after the other, since each keeps the processor busy.
+static TURN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
 /// A request that was sent and how it ended.
 struct Sent {
     at: time::Instant,
@@ -52,6 +55,8 @@
 struct Deployment {
     fleet: GatewayFleet,
     servers: Vec<backend::Backend>,
+    /// Time after which callers of the requests that crash servers leave.
+    patience: Option<time::Duration>,
     sent: Mutex<Vec<Sent>>,
     /// When servers crashed.
     crashes: Mutex<Vec<time::Instant>>,
@@ -60,7 +65,7 @@
 }
 
 impl Deployment {
-    async fn start() -> Arc<Self> {
+    async fn start(patience: Option<time::Duration>) -> Arc<Self> {
         let mut servers = Vec::new();
         for number in 0..SERVER_COUNT {
             let behaviour =
@@ -84,6 +89,7 @@
         Arc::new(Self {
             fleet,
             servers,
+            patience,
             sent: Mutex::default(),
             crashes: Mutex::default(),
             next: atomic::AtomicUsize::new(0),
@@ -100,11 +106,14 @@
             [("x-toucanwall-prefix-hash", &*prompt), ("x-toucanwall-token-count", "1400,40")];
         let path = format!("/chat/{number}");
         let at = time::Instant::now();
-        let response =
-            self.fleet.prepare_request_with(host, "POST", &path, &id, &headers).send().await;
+        let request = self.fleet.prepare_request_with(host, "POST", &path, &id, &headers);
+        let is_crashing = part == CRASHING_PART;
+        let response = match self.patience.filter(|_| is_crashing) {
+            Some(patience) => tokio::time::timeout(patience, request.send()).await.ok().flatten(),
+            None => request.send().await,
+        };
         let status = response.as_ref().map(|response| response.status);
         let is_served = response.is_some_and(|it| it.status == 200 && it.is_complete);
-        let is_crashing = part == CRASHING_PART;
         let sent = Sent { at, id, is_crashing, is_served, took: at.elapsed() };
         self.sent.lock().expect("the lock is not poisoned").push(sent);
         status
@@ -212,9 +221,15 @@
 }
 
 #[rstest]
+#[case::callers_that_wait(None)]
+// Shorter than the time from the head of a response to the crash.
+#[case::callers_that_leave(Some(time::Duration::from_millis(40)))]
 #[tokio::test(flavor = "multi_thread")]
-async fn part_that_crashed_five_servers_reaches_no_more_servers_and_its_neighbours_do() {
-    let deployment = Deployment::start().await;
+async fn part_that_crashed_five_servers_reaches_no_more_servers_and_its_neighbours_do(
+    #[case] patience: Option<time::Duration>,
+) {
+    let _turn = TURN.lock().await;
+    let deployment = Deployment::start(patience).await;
     let started_at = time::Instant::now();
     let (begun_at, fifth_crash_at) = deployment.run_traffic().await;
     let late = deployment.late_arrivals(fifth_crash_at + CONTACT_TIME);
@@ -254,7 +269,8 @@
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn part_that_crashed_five_servers_is_rejected_by_hosts_that_start_later() {
-    let deployment = Deployment::start().await;
+    let _turn = TURN.lock().await;
+    let deployment = Deployment::start(None).await;
     deployment.run_traffic().await;
     deployment.finish().await;
     let crashes = deployment.crash_count();
