--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -161,6 +161,12 @@
             "stream interrupted" => {
                 format!("stream interrupted after event {}: {}", field("last_event"), field("why"))
             }
+            "in flight when the server ended" => format!(
+                "server {} ended {} ms after the request was sent; parts of the prompt: {}",
+                field("server"),
+                field("sent_before_ms"),
+                field("parts")
+            ),
             "stream ended" => format!(
                 "stream complete, last event {}, longest pause {} ms",
                 field("last_event"),
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -12,6 +12,7 @@
 {"at_ms":1350,"host":"a","level":"info","message":"answered","request":"id-2","status":200,"took_ms":4}
 thread 'main' prints something that is not a log line
 {"at_ms":1900,"host":"a","level":"info","message":"stream interrupted","request":"id-1","last_event":3,"why":"broke off: reset"}
+{"at_ms":1900,"content":"07","head_before_ms":60,"host":"a","level":"info","message":"in flight when the server ended","parts":"0a,0b","request":"id-1","sent_before_ms":70,"server":"s-1"}
 {"at_ms":2400,"host":"a","level":"info","message":"stream ended","request":"id-1","last_event":9,"longest_pause_ms":510}
 "#;
 /// Log of host b: three removed server entries, of which only the first belongs to the timeline of
@@ -49,6 +50,7 @@
         "    300 ms   a: first event forwarded after 300 ms",
         "    880 ms * b: server entry vanished (outcome \"Gone\", server \"s-1\")",
         "    900 ms   a: stream interrupted after event 3: broke off: reset",
+        "    900 ms   a: server s-1 ended 70 ms after the request was sent; parts of the prompt: 0a,0b",
         "   1400 ms   a: stream complete, last event 9, longest pause 510 ms",
         "* about a host or server of the request, not the request itself",
     ];
