Contain a panic in a step of the control thread

A panic ended the control thread and left the process serving by its last view for good: new configurations, withdrawn servers and keys were never heard of. The step is given up and logged.

--- a/crates/daemon/tests/crashing_parts.rs
+++ b/crates/daemon/tests/crashing_parts.rs
@@ -287,3 +287,53 @@
     let servers = &deployment.servers;
     assert_eq!(servers.iter().map(backend::Backend::crashes).sum::<usize>(), crashes);
 }
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_entries_about_crashes_are_ignored() {
+    let server = backend::Backend::start("s-1", backend::Behaviour::Respond).await;
+    let fleet = GatewayFleet::start(1, &[("desk", &server)]).await;
+    let run = serde_json::json!({ "server": "s-1", "started_unix_ms": u64::MAX });
+    let suspects = |progress: &str, parts: usize| {
+        let hashes = vec!["00000000000000aa"; parts];
+        serde_json::json!([{
+            "content_hash": "0000000000000001", "progress": progress, "part_hashes": hashes,
+        }])
+    };
+    let report = |noticed_unix_ms: serde_json::Value, suspects: serde_json::Value| {
+        serde_json::json!({
+            "server": "s-1", "started_unix_ms": 1, "noticed_unix_ms": noticed_unix_ms,
+            "content_hashes": ["0000000000000001"], "suspects": suspects,
+        })
+    };
+    let entries = [
+        serde_json::json!(null),
+        serde_json::json!([1, 2]),
+        serde_json::json!({ "blocked_part": "no hash" }),
+        serde_json::json!({ "blocked_part": 7 }),
+        serde_json::json!({ "cleared_part": "00000000000000aa", "runs": 3, "noticed_unix_ms": 0 }),
+        serde_json::json!({
+            "cleared_part": "00000000000000aa", "runs": vec![run; 5_000],
+            "noticed_unix_ms": u64::MAX,
+        }),
+        report(u64::MAX.into(), suspects("begun", 2)),
+        report((u64::MAX - 1).into(), suspects("waiting", 5_000)),
+        report(0.into(), suspects("ended", 2)),
+        report((-1).into(), suspects("begun", 2)),
+        report(1.into(), serde_json::json!("none")),
+    ];
+    for (number, entry) in entries.iter().enumerate() {
+        fleet.store.put("toucanwall-crashes", &format!("e-{number}"), entry);
+    }
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    // The thread that reads the entries still applies configurations.
+    let mut next = gateway_fleet::configuration(3);
+    next["tenants"][1]["api_keys"] = serde_json::json!([]);
+    fleet.store.put("config", "main", &next);
+    tokio::time::sleep(gateway_fleet::CONFIG_APPLY_LIMIT).await;
+    let headers = [("authorization", "Token key-2")];
+    let response = fleet.send(0, "GET", "/read/x", &headers).await.expect("a response");
+    assert_eq!(response.status, 401, "{}", fleet.log(0));
+    let response = fleet.send(0, "GET", "/read/x", &[]).await.expect("a response");
+    assert_eq!(response.status, 200, "{}", fleet.log(0));
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::net;
+use std::panic;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -181,11 +182,11 @@
         loop {
             tokio::select! {
                 Some(event) = event_receiver.recv() => {
-                    self.handle_event(event);
+                    contain_panic("store event", || self.handle_event(event));
                     // At start-up the lists of all kinds arrive together; publish a single view for
                     // them.
                     while let Ok(event) = event_receiver.try_recv() {
-                        self.handle_event(event);
+                        contain_panic("store event", || self.handle_event(event));
                     }
                     self.publish();
                 }
@@ -196,7 +197,7 @@
                         self.publish();
                     }
                 }
-                _ = ticks.tick() => self.tick(),
+                _ = ticks.tick() => contain_panic("tick", || self.tick()),
                 command = commands.recv() => match command {
                     Some(command) => self.handle_command(command),
                     None => return,
@@ -572,6 +573,17 @@
     }
 }
 
+/// Runs a step of the control thread; a panic ends the step and not the thread, without which the
+/// host would go on with an outdated view.
+fn contain_panic<F>(step: &'static str, run: F)
+where
+    F: FnOnce(),
+{
+    if panic::catch_unwind(panic::AssertUnwindSafe(run)).is_err() {
+        log::error!(target: "toucanwall", step = step; "internal error; the step was given up");
+    }
+}
+
 fn log_malformed<E>(error: &E)
 where
     E: std::error::Error,
