--- a/crates/policy/src/crash_causes.rs
+++ b/crates/policy/src/crash_causes.rs
@@ -584,7 +584,7 @@
             contents.extend(&it.contents);
             let score = chances.score(it);
             match moments.last_mut() {
-                Some((at_ms, highest)) if it.noticed_unix_ms < *at_ms + MOMENT_MS => {
+                Some((at_ms, highest)) if it.noticed_unix_ms < at_ms.saturating_add(MOMENT_MS) => {
                     *highest = highest.max(score);
                 }
                 _ => moments.push((it.noticed_unix_ms, score)),
--- a/crates/policy/tests/crash_causes.rs
+++ b/crates/policy/tests/crash_causes.rs
@@ -201,3 +201,15 @@
     causes.record_unblock(GUILTY);
     assert_eq!(causes.verdict(&[FIRST, GUILTY, 9]), Verdict::Allowed);
 }
+
+#[rstest]
+fn reports_with_impossible_times_are_weighed_like_others() {
+    let mut causes = CrashCauses::new();
+    for number in 0..6 {
+        let suspects = [suspect(number, Progress::Begun, &[FIRST, GUILTY])];
+        causes.record_crash(&run(number), u64::MAX - number % 2, &suspects, 0);
+    }
+    // Crashes at the same moment are no evidence.
+    assert_eq!(advance(&mut causes, crash_causes::HOLD_MS), []);
+    assert_eq!(advance(&mut causes, 2 * crash_causes::HOLD_MS), []);
+}
