Count the requests of a crash that say most, if there are too many

Of a crash with more than 32 requests in flight, the first 32 reported were counted, so that waiting ones could push out the one whose answer had just begun; a server here runs 128 at once. Found while reading the change; requests_that_wait_push_out_no_answer_that_has_begun failed before and passes.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -473,7 +473,8 @@
     /// conclusions that other hosts should learn.
     pub fn take_unreported(&self, now: rollouts::Timestamp) -> Vec<Entry> {
         let unreported = std::mem::take(&mut *lock(&self.unreported));
-        let to_report = |(run, in_flight): (crash_history::ServerRun, InFlight)| {
+        let to_report = |(run, mut in_flight): (crash_history::ServerRun, InFlight)| {
+            crash_causes::sort_by_weight(&mut in_flight.suspects);
             let suspects = in_flight.suspects.iter().take(crash_causes::MAX_SUSPECTS);
             Entry::Crash(Report {
                 server: run.server,
--- a/crates/policy/src/crash_causes.rs
+++ b/crates/policy/src/crash_causes.rs
@@ -53,7 +53,7 @@
 const CLEARANCE_DELAY_MS: u64 = 200;
 /// Maximum number of crashes that are remembered; the oldest are forgotten first.
 const MAX_CRASHES: usize = 512;
-/// Maximum number of requests in flight that are counted for a crash.
+/// Maximum number of requests in flight that are counted for a crash, those that say most first.
 pub const MAX_SUSPECTS: usize = 32;
 /// Maximum number of parts of a request that are counted, from the first.
 pub const MAX_PARTS: usize = 32;
@@ -267,11 +267,13 @@
             |suspect: &Suspect| suspect.parts.iter().any(|part| self.blocked.contains(part));
         let is_explained = crash.is_explained || suspects.iter().any(is_caused);
         for suspect in suspects {
-            let is_known = crash.suspects.contains(&suspect);
-            if !is_known && crash.suspects.len() < MAX_SUSPECTS {
+            if !crash.suspects.contains(&suspect) {
                 crash.suspects.push(suspect);
             }
         }
+        sort_by_weight(&mut crash.suspects);
+        let dropped = crash.suspects.split_off(cmp::min(crash.suspects.len(), MAX_SUSPECTS));
+        self.uncount_parts(run, &dropped);
         if is_explained {
             self.explain(run);
         } else {
@@ -539,13 +541,16 @@
 
     fn uncount(&mut self, run: &crash_history::ServerRun) {
         let Some(crash) = self.crashes.get(run) else { return };
-        let parts: collections::BTreeSet<_> =
-            crash.suspects.iter().flat_map(|suspect| suspect.parts.iter().copied()).collect();
-        for part in parts {
-            if let Some(account) = self.accounts.get_mut(&part) {
+        let suspects = crash.suspects.clone();
+        self.uncount_parts(run, &suspects);
+    }
+
+    fn uncount_parts(&mut self, run: &crash_history::ServerRun, suspects: &[Suspect]) {
+        for part in suspects.iter().flat_map(|suspect| suspect.parts.iter()) {
+            if let Some(account) = self.accounts.get_mut(part) {
                 account.runs.remove(run);
             }
-            self.drop_empty_account(part);
+            self.drop_empty_account(*part);
         }
     }
 
@@ -652,6 +657,15 @@
     }
 }
 
+/// Sorts requests so that those which say most come first: answers that had just begun.
+pub fn sort_by_weight(suspects: &mut [Suspect]) {
+    suspects.sort_by_key(|suspect| match suspect.progress {
+        Progress::Begun => 0,
+        Progress::Streaming => 1,
+        Progress::Waiting => 2,
+    });
+}
+
 fn approximate(count: usize) -> f64 {
     u32::try_from(cmp::min(count, MAX_CRASHES)).map_or(0.0, f64::from)
 }
--- a/crates/policy/tests/crash_causes.rs
+++ b/crates/policy/tests/crash_causes.rs
@@ -213,3 +213,21 @@
     assert_eq!(advance(&mut causes, crash_causes::HOLD_MS), []);
     assert_eq!(advance(&mut causes, 2 * crash_causes::HOLD_MS), []);
 }
+
+#[rstest]
+fn requests_that_wait_push_out_no_answer_that_has_begun() {
+    let mut causes = CrashCauses::new();
+    for number in 0..6 {
+        let waiting = (0..100).map(|other| {
+            let content = 1_000 + number * 100 + other;
+            suspect(content, Progress::Waiting, &[FIRST, content])
+        });
+        let guilty = suspect(number, Progress::Begun, &[FIRST, GUILTY]);
+        let suspects: Vec<_> = waiting.chain([guilty]).collect();
+        causes.record_crash(&run(number), number * INTERVAL_MS, &suspects, number * INTERVAL_MS);
+    }
+    let now_ms = 6 * INTERVAL_MS;
+    advance(&mut causes, now_ms);
+    let steps = advance(&mut causes, now_ms + crash_causes::HOLD_MS);
+    assert!(matches!(&*steps, [Step::Block { part: GUILTY, .. }]), "{steps:?}");
+}
