Reset only connections of callers without chunks when a stream broke off

Callers with chunks miss the last one and need no reset, which discards what is still on its way to them. Found while reading the change; not shown by a failing test: on loopback the caller still reads all events (slow_caller_gets_all_events_of_a_stream_that_broke_off passes either way and guards it).

--- a/crates/daemon/tests/connection_ends.rs
+++ b/crates/daemon/tests/connection_ends.rs
@@ -122,6 +122,24 @@
     assert_eq!(is_clean, is_complete, "{text}");
 }
 
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_caller_gets_all_events_of_a_stream_that_broke_off() {
+    let (fleet, servers) = start(false).await;
+    enqueue(&servers, &Behaviour::TruncateStream { after: 3 });
+    let request = format!(
+        "POST /chat/x HTTP/1.1\r\nhost: site.example\r\nx-toucanwall-attempt-id: slow\r\n\
+         authorization: Token {}\r\ncontent-length: 0\r\n\r\n",
+        gateway_fleet::KEY
+    );
+    let stream = fleet.send_raw(0, &request).await;
+    // The stream has broken off before the caller reads it.
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    let (text, _) = read_to_end(stream).await;
+    assert!(text.contains("id: 3\n"), "{text}");
+    assert!(!text.ends_with("0\r\n\r\n"), "{text}");
+}
+
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_stream_that_cannot_be_resumed_is_not_cut() {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -200,6 +200,8 @@
     reset_switch: caller_stream::ResetSwitch,
 ) -> hyper::Response<Body> {
     let open_request = OpenRequest::new(&state);
+    // Callers with chunks miss the last one. A reset would take events from them that are on the way.
+    let reset_switch = (request.version() == hyper::Version::HTTP_10).then_some(reset_switch);
     let received_at_ms = state.clock.now_ms();
     let (parts, body) = request.into_parts();
     let limits = state.view().configuration.as_ref().map(|configuration| configuration.limits());
@@ -295,7 +297,7 @@
     exchange: exchange::Exchange,
     open_request: OpenRequest,
     received_at_ms: u64,
-    reset_switch: caller_stream::ResetSwitch,
+    reset_switch: Option<caller_stream::ResetSwitch>,
 ) -> hyper::Response<Body> {
     let state = Arc::clone(&exchange.state);
     let attempt_id = Arc::clone(&exchange.head.attempt_id);
@@ -347,7 +349,7 @@
     stream: stream::EventStream,
     open_request: OpenRequest,
     deadline: tokio::time::Instant,
-    reset_switch: caller_stream::ResetSwitch,
+    reset_switch: Option<caller_stream::ResetSwitch>,
 ) -> hyper::Response<Body> {
     let mut response = hyper::Response::new(());
     *response.status_mut() = stream.head().status;
@@ -363,7 +365,9 @@
             if let Err(error) = &next {
                 let request = stream.exchange().map(|exchange| &*exchange.head.attempt_id);
                 log::warn!(target: "toucanwall", request = request, why = error.to_string(); "stream broken off");
-                reset_switch.set();
+                if let Some(reset_switch) = reset_switch {
+                    reset_switch.set();
+                }
                 return Some((next.map(hyper::body::Frame::data), None));
             }
             Some((next.map(hyper::body::Frame::data), Some((stream, open_request, reset_switch))))
