--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -520,7 +520,8 @@
 }
 
 impl EntryLog {
-    /// Adds an entry of this host, which is identified by its run. It is written after `delay_ms`.
+    /// Adds an entry of this host, which is identified by its run. It is written once
+    /// the monotonic clock shows `write_after_ms`, unless the store shows it by then.
     pub fn add(&mut self, entry: Entry, run_id: u64, write_after_ms: u64) {
         self.made += 1;
         let name =
