Log and count pauses that servers ask for, and retries against their budget

Nothing reads Retry-After in the responses of servers, so neither logs nor metrics tell whether a server that asked for a pause gets requests because it was not heard, because repeats pile up, or because requests were chosen before and sent after.

Retries are counted by service and outcome, with the window's budget beside them. No decision changes: servers are chosen as before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::exchange;
 use crate::execution;
 use crate::leaving;
+use crate::pauses;
 use crate::pool;
 use crate::response_buffer;
 use crate::rollouts;
@@ -212,6 +213,7 @@
             let error = AttemptError::Broken(error.to_string());
             (error, not_written)
         })?;
+        pauses::observe_send(&exchange.state, &in_flight.server, &exchange.head.attempt_id);
         leaving::watch_interim_responses(
             &mut request,
             &exchange.state,
@@ -263,6 +265,12 @@
             head.leaving,
             leaving::Source::Final(head.status),
         );
+        pauses::record_request(
+            &exchange.state,
+            &in_flight.server,
+            &exchange.head.attempt_id,
+            head.pause,
+        );
         return validate(OpenResponse { head, parts, body, connection, in_flight });
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod leaving;
 mod logging;
 mod metrics;
+mod pauses;
 mod peers;
 mod pool;
 mod reachability;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,8 @@
 use prometheus_client::metrics::histogram;
 use prometheus_client::registry;
 use toucanwall_platform::response;
+use toucanwall_policy::retry_quota;
+use toucanwall_routing::name;
 
 use crate::attempt;
 
@@ -16,6 +18,9 @@
 
 type Label = (&'static str, &'static str);
 type CounterFamily = family::Family<Vec<Label>, counter::Counter>;
+type ServiceLabel = (&'static str, String);
+type ServiceCounterFamily = family::Family<Vec<ServiceLabel>, counter::Counter>;
+type ServiceGaugeFamily = family::Family<Vec<ServiceLabel>, gauge::Gauge>;
 
 /// Metrics of a host.
 #[derive(Debug)]
@@ -26,6 +31,10 @@
     failed: CounterFamily,
     attempts_failed: CounterFamily,
     leaving_notices: CounterFamily,
+    pause_requests: CounterFamily,
+    sends_within_pauses: counter::Counter,
+    retries: ServiceCounterFamily,
+    retry_window: ServiceGaugeFamily,
     connections: CounterFamily,
     store_calls: CounterFamily,
     change_sources: CounterFamily,
@@ -53,6 +62,18 @@
         let leaving_notices = CounterFamily::default();
         let help = "responses by what they say about whether their server is leaving";
         registry.register("leaving_notices", help, leaving_notices.clone());
+        let pause_requests = CounterFamily::default();
+        let help = "responses that ask for a pause of their server";
+        registry.register("pause_requests", help, pause_requests.clone());
+        let sends_within_pauses = counter::Counter::default();
+        let help = "requests sent to servers that had asked for a pause";
+        registry.register("sends_within_pauses", help, sends_within_pauses.clone());
+        let retries = ServiceCounterFamily::default();
+        let help = "retries by whether the budget of their service allowed them";
+        registry.register("retries", help, retries.clone());
+        let retry_window = ServiceGaugeFamily::default();
+        let help = "retries of this host in the latest window, and those that it may make";
+        registry.register("retry_window", help, retry_window.clone());
         let connections = CounterFamily::default();
         registry.register("server_connections", "connections by age", connections.clone());
         let store_calls = CounterFamily::default();
@@ -82,6 +103,10 @@
             failed,
             attempts_failed,
             leaving_notices,
+            pause_requests,
+            sends_within_pauses,
+            retries,
+            retry_window,
             connections,
             store_calls,
             change_sources,
@@ -145,6 +170,37 @@
         self.leaving_notices.get_or_create(&vec![("notice", notice)]).inc();
     }
 
+    /// Records a response that may ask for a pause of its server.
+    pub fn record_pause_request(&self, pause: response::PauseRequest) {
+        let pause = match pause {
+            response::PauseRequest::Absent => return,
+            response::PauseRequest::For { .. } => "pause",
+            response::PauseRequest::Malformed => "malformed",
+        };
+        self.pause_requests.get_or_create(&vec![("request", pause)]).inc();
+    }
+
+    /// Records a request that is sent to a server that has asked for a pause.
+    pub fn record_send_within_pause(&self) {
+        self.sends_within_pauses.inc();
+    }
+
+    /// Records whether a retry was allowed, and how much of the budget is used.
+    pub fn record_retry(
+        &self,
+        service: &name::ServiceName,
+        is_allowed: bool,
+        usage: retry_quota::Usage,
+    ) {
+        let labels = |key, value: &str| vec![service_label(service), (key, value.to_owned())];
+        let outcome = if is_allowed { "allowed" } else { "denied" };
+        self.retries.get_or_create(&labels("outcome", outcome)).inc();
+        for (figure, count) in [("taken", usage.taken), ("budget", usage.budget)] {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.retry_window.get_or_create(&labels("figure", figure)).set(count);
+        }
+    }
+
     /// Records the use of a new or an idle connection to a server.
     pub fn record_connection(&self, is_new: bool) {
         let age = if is_new { "new" } else { "kept" };
@@ -189,6 +245,10 @@
     }
 }
 
+fn service_label(service: &name::ServiceName) -> ServiceLabel {
+    ("service", service.as_str().to_owned())
+}
+
 fn to_seconds(ms: u64) -> f64 {
     std::time::Duration::from_millis(ms).as_secs_f64()
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -159,7 +159,12 @@
     #[must_use]
     pub fn try_take_retry(&self, service: &name::ServiceName) -> bool {
         let hosts = self.view().serving_host_count();
-        self.with_retry_quota(service, |quota| quota.try_take(hosts, self.clock.now_ms()))
+        let now_ms = self.clock.now_ms();
+        let (is_taken, usage) = self.with_retry_quota(service, |quota| {
+            (quota.try_take(hosts, now_ms), quota.usage(hosts, now_ms))
+        });
+        self.metrics.record_retry(service, is_taken, usage);
+        is_taken
     }
 
     /// Returns the retries that a service may spend on escalation; some are reserved for failures.
--- a/crates/policy/src/retry_quota.rs
+++ b/crates/policy/src/retry_quota.rs
@@ -51,6 +51,15 @@
     host_counts: window::SlidingMax,
 }
 
+/// Retries of one host for one service in a window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Retries that the host may make.
+    pub budget: u64,
+    /// Retries that it has made.
+    pub taken: u64,
+}
+
 impl RetryQuota {
     /// Creates a quota without recorded requests; times are counted from the start of the process.
     #[must_use]
@@ -84,7 +93,13 @@
 
     /// Number of retries that are left.
     pub fn remaining(&mut self, host_count: u64, now_ms: u64) -> u64 {
-        self.budget(host_count, now_ms).saturating_sub(self.taken.count(now_ms))
+        let usage = self.usage(host_count, now_ms);
+        usage.budget.saturating_sub(usage.taken)
+    }
+
+    /// Retries of this host in the window that ends now.
+    pub fn usage(&mut self, host_count: u64, now_ms: u64) -> Usage {
+        Usage { budget: self.budget(host_count, now_ms), taken: self.taken.count(now_ms) }
     }
 
     /// Number of retries that may be spent on escalations; a reserve is kept for failures.
--- a/crates/policy/src/server_notices.rs
+++ b/crates/policy/src/server_notices.rs
@@ -4,6 +4,10 @@
 //! may be missing, and an older list may show the server as ready again. So a host keeps what it has
 //! heard for each run of a server. Within a run a notice is never taken back; only a later run of the
 //! server ends it.
+//!
+//! A server may also ask a host for a pause. Each such request has an end of its own, so the latest
+//! end counts, and a later, shorter request does not move it. A pause is no failure of the server and
+//! is kept by the host that was asked alone.
 
 use std::collections;
 use std::net;
@@ -25,6 +29,10 @@
 #[derive(Debug)]
 struct Notice {
     run: Run,
+    /// Whether the server has said that it leaves.
+    is_leaving: bool,
+    /// Latest end of the pauses for which the server has asked, in milliseconds; 0 without one.
+    paused_until_ms: u64,
     /// When the host last knew an entry of the server, or heard the notice, in milliseconds.
     last_known_ms: u64,
 }
@@ -45,6 +53,17 @@
     Leaving,
 }
 
+/// What a request for a pause changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PauseChange {
+    /// The server was not paused.
+    Begun,
+    /// The server was paused, and now for longer.
+    Extended,
+    /// The server is paused for at least as long already, or the request is for no time.
+    Unchanged,
+}
+
 impl ServerNotices {
     /// Creates a record without notices.
     #[must_use]
@@ -54,24 +73,41 @@
 
     /// Records that a run of a server has said that it leaves; returns whether that is new.
     pub fn record_leaving(&mut self, server: &server::BackendServer, now_ms: u64) -> bool {
-        let run = Run::of(server);
-        match self.notices.get_mut(&server.id) {
-            Some(notice) if !run.is_later_than(notice.run) => {
-                notice.last_known_ms = now_ms;
-                false
-            }
-            _ => {
-                self.notices.insert(server.id.clone(), Notice { run, last_known_ms: now_ms });
-                true
-            }
+        let notice = self.notice_mut(server, now_ms);
+        notice.is_some_and(|notice| !std::mem::replace(&mut notice.is_leaving, true))
+    }
+
+    /// Records that a run of a server has asked this host for a pause from now on.
+    pub fn record_pause(
+        &mut self,
+        server: &server::BackendServer,
+        pause_ms: u64,
+        now_ms: u64,
+    ) -> PauseChange {
+        let Some(notice) = self.notice_mut(server, now_ms) else { return PauseChange::Unchanged };
+        let until_ms = now_ms.saturating_add(pause_ms);
+        let former_ms = notice.paused_until_ms;
+        notice.paused_until_ms = former_ms.max(until_ms);
+        if until_ms <= former_ms || pause_ms == 0 {
+            PauseChange::Unchanged
+        } else if former_ms <= now_ms {
+            PauseChange::Begun
+        } else {
+            PauseChange::Extended
         }
     }
 
+    /// End of the pause for which a server has asked, in milliseconds; `None` if there is none now.
+    #[must_use]
+    pub fn paused_until_ms(&self, server: &server::BackendServer, now_ms: u64) -> Option<u64> {
+        let notice = self.notice_of(server)?;
+        (now_ms < notice.paused_until_ms).then_some(notice.paused_until_ms)
+    }
+
     /// Whether a server accepts new requests, by its entry and by all that it has said before.
     #[must_use]
     pub fn acceptance(&self, server: &server::BackendServer) -> Acceptance {
-        let has_left =
-            self.notices.get(&server.id).is_some_and(|it| !Run::of(server).is_later_than(it.run));
+        let has_left = self.notice_of(server).is_some_and(|it| it.is_leaving);
         match server.readiness {
             server::Readiness::Ready if !has_left => Acceptance::Accepts,
             server::Readiness::Ready | server::Readiness::Draining => Acceptance::Leaving,
@@ -90,6 +126,29 @@
             now_ms < notice.last_known_ms + RETENTION_MS
         });
     }
+
+    /// What this run of a server, or a later one under its id, has said.
+    fn notice_of(&self, server: &server::BackendServer) -> Option<&Notice> {
+        self.notices.get(&server.id).filter(|notice| !Run::of(server).is_later_than(notice.run))
+    }
+
+    /// The record of a run of a server, which replaces that of an earlier one; `None` if a later run
+    /// is known.
+    fn notice_mut(&mut self, server: &server::BackendServer, now_ms: u64) -> Option<&mut Notice> {
+        let run = Run::of(server);
+        let notice = self.notices.entry(server.id.clone()).or_insert_with(|| Notice::new(run));
+        if run.is_later_than(notice.run) {
+            *notice = Notice::new(run);
+        }
+        notice.last_known_ms = now_ms;
+        (!notice.run.is_later_than(run)).then_some(notice)
+    }
+}
+
+impl Notice {
+    fn new(run: Run) -> Self {
+        Self { run, is_leaving: false, paused_until_ms: 0, last_known_ms: 0 }
+    }
 }
 
 impl Run {
