--- a/crates/daemon/tests/retry_budget.rs
+++ b/crates/daemon/tests/retry_budget.rs
@@ -40,16 +40,49 @@
     Pauses,
 }
 
+/// What callers ask for, and so why requests are sent again.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Load {
+    /// Requests that fail or are declined.
+    Reads,
+    /// Streams that are resumed.
+    Streams,
+    /// Streams of which the answers are escalated to a larger model.
+    Escalations,
+}
+
+impl Load {
+    fn service(self) -> &'static str {
+        if self == Self::Reads { "desk" } else { "engines" }
+    }
+
+    fn request(
+        self,
+        fleet: &GatewayFleet,
+        host: usize,
+        id: &str,
+    ) -> gateway_fleet::PreparedRequest {
+        let any_model = [("x-toucanwall-model-name", "*"), ("x-toucanwall-token-count", "100,10")];
+        match self {
+            Self::Reads => fleet.prepare_request(host, "GET", "/read/x", id),
+            Self::Streams => fleet.prepare_request(host, "POST", "/chat/x", id),
+            Self::Escalations => {
+                fleet.prepare_request_with(host, "POST", "/chat/x", id, &any_model)
+            }
+        }
+    }
+}
+
 type Fleet = Arc<tokio::sync::RwLock<GatewayFleet>>;
 
-async fn run_caller(fleet: Fleet, is_finished: Arc<atomic::AtomicBool>, caller: u64) {
+async fn run_caller(load: Load, fleet: Fleet, is_finished: Arc<atomic::AtomicBool>, caller: u64) {
     let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(caller);
     let mut number = 0;
     while !is_finished.load(atomic::Ordering::Relaxed) {
         number += 1;
         let host = rng.random_range(0..HOST_COUNT);
         let id = format!("c{caller}-{number}");
-        let request = fleet.read().await.prepare_request(host, "GET", "/read/x", &id);
+        let request = load.request(&*fleet.read().await, host, &id);
         // Nearly all requests fail, and hosts are restarted.
         let _response = tokio::time::timeout(time::Duration::from_secs(5), request.send()).await;
         tokio::time::sleep(CALLER_PAUSE).await;
@@ -106,27 +139,54 @@
 
 /// Also when hosts start together, know no others yet or have forgotten what they used before.
 #[rstest]
-#[case::no_trouble(Trouble::None, backend::Behaviour::Fail)]
-#[case::no_trouble_and_lost_answers(Trouble::None, backend::Behaviour::DropResponse)]
-#[case::restarts(Trouble::Restarts, backend::Behaviour::Fail)]
-#[case::restarts_and_lost_answers(Trouble::Restarts, backend::Behaviour::DropResponse)]
-#[case::all_restart(Trouble::AllRestart, backend::Behaviour::Fail)]
-#[case::all_restart_without_store(Trouble::AllRestartWithoutStore, backend::Behaviour::Fail)]
-#[case::pauses(Trouble::Pauses, backend::Behaviour::Fail)]
+#[case::no_trouble(Trouble::None, Load::Reads, backend::Behaviour::Fail)]
+#[case::no_trouble_and_lost_answers(Trouble::None, Load::Reads, backend::Behaviour::DropResponse)]
+#[case::restarts(Trouble::Restarts, Load::Reads, backend::Behaviour::Fail)]
+#[case::restarts_and_lost_answers(Trouble::Restarts, Load::Reads, backend::Behaviour::DropResponse)]
+#[case::all_restart(Trouble::AllRestart, Load::Reads, backend::Behaviour::Fail)]
+#[case::all_restart_without_store(
+    Trouble::AllRestartWithoutStore,
+    Load::Reads,
+    backend::Behaviour::Fail
+)]
+#[case::pauses(Trouble::Pauses, Load::Reads, backend::Behaviour::Fail)]
+#[case::declined(Trouble::None, Load::Reads, backend::Behaviour::Decline)]
+#[case::servers_pause(Trouble::None, Load::Reads, backend::Behaviour::ask_for_pause("0.3"))]
+#[case::servers_pause_and_restarts(
+    Trouble::Restarts,
+    Load::Reads,
+    backend::Behaviour::ask_for_pause("0.3")
+)]
+#[case::resumed_streams(
+    Trouble::Restarts,
+    Load::Streams,
+    backend::Behaviour::TruncateStream { after: 1 }
+)]
+#[case::declined_streams(Trouble::None, Load::Streams, backend::Behaviour::Decline)]
+#[case::escalations(
+    Trouble::None,
+    Load::Escalations,
+    backend::Behaviour::LowConfidenceStream { last: 3 }
+)]
 #[tokio::test(flavor = "multi_thread")]
 async fn retries_of_all_hosts_stay_within_the_allowance(
     #[case] trouble: Trouble,
+    #[case] load: Load,
     #[case] behaviour: backend::Behaviour,
 ) {
     let mut fleet = GatewayFleet::prepare().await;
     let store = proxy::Proxy::start(fleet.store.address).await;
     fleet.store_address = store.address;
     fleet.retry_allowance = Some(RETRY_ALLOWANCE);
-    fleet.store.put("config", "main", &gateway_fleet::configuration(2));
+    let configuration = match load {
+        Load::Escalations => gateway_fleet::cascade_configuration(2),
+        Load::Reads | Load::Streams => gateway_fleet::configuration(2),
+    };
+    fleet.store.put("config", "main", &configuration);
     let mut servers = Vec::new();
     for number in 0..SERVER_COUNT {
         let server = backend::Backend::start(&format!("s-{number}"), behaviour.clone()).await;
-        fleet.register("desk", &server, "ready");
+        fleet.register(load.service(), &server, "ready");
         servers.push(server);
     }
     for _ in 0..HOST_COUNT {
@@ -136,7 +196,8 @@
     let is_finished = Arc::new(atomic::AtomicBool::new(false));
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|caller| {
-            tokio::spawn(run_caller(Arc::clone(&fleet), Arc::clone(&is_finished), caller))
+            let (fleet, is_finished) = (Arc::clone(&fleet), Arc::clone(&is_finished));
+            tokio::spawn(run_caller(load, fleet, is_finished, caller))
         })
         .collect();
     cause(trouble, &fleet, &store).await;
@@ -146,7 +207,7 @@
     }
     let arrivals: usize = servers.iter().map(|server| server.arrivals().len()).sum();
     let retries = most_retries(&servers);
-    println!("{trouble:?}: {arrivals} arrivals, at most {retries} retries in a window");
+    println!("{trouble:?}, {load:?}: {arrivals} arrivals, at most {retries} retries in a window");
     assert!(retries > 0, "requests are retried");
     assert!(retries <= usize::try_from(RETRY_ALLOWANCE).expect("a small number"));
 }
