Send no requests to a server within the pause that it has asked for

Callers saw requests declined by servers that had asked for a pause; the users counted as many requests to one server as seconds it had asked for. A refusal excluded its server for the one request only, and each other request chose it again.

A 503 with Retry-After now pauses the run of the server that gave it, for this host: it is one state of the record that knows of leaving, and acceptance() decides on it for each path that sends, when a server is chosen and again just before the request is written. The latest of all ends counts; zero, negative numbers, dates and the like pause nothing; a 429 pauses nothing, it is about one request. If all servers pause, callers are rejected at once with a time after the earliest end, urgent ones first. A server that comes back gets one request at a time from a host, and one more for each that it accepts.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 use toucanwall_policy::canary;
 use toucanwall_policy::crash_causes;
 use toucanwall_policy::placement;
+use toucanwall_policy::server_notices;
 use toucanwall_routing::server;
 
 use crate::crashes;
@@ -63,7 +64,10 @@
 pub enum AttemptError {
     /// The server has begun to leave since it was chosen; the request was not sent.
     #[error("server no longer accepts requests")]
-    NoLongerAccepts,
+    Leaving,
+    /// The server has asked for a pause since it was chosen; the request was not sent.
+    #[error("server has asked for a pause")]
+    Paused,
     /// A part of the prompt has been found to end servers since the server was chosen.
     #[error("a part of the prompt ends servers")]
     Blocked,
@@ -123,7 +127,7 @@
     pub fn is_server_failure(&self) -> bool {
         !matches!(
             self,
-            Self::NoLongerAccepts | Self::Blocked | Self::Unreachable(_) | Self::Declined(_)
+            Self::Leaving | Self::Paused | Self::Blocked | Self::Unreachable(_) | Self::Declined(_)
         )
     }
 }
@@ -199,21 +203,14 @@
             }
         };
         exchange.state.metrics.record_connection(connection.is_new());
-        // The server may have announced its leaving while the connection was being opened.
-        if !exchange.state.still_accepts(&in_flight.server) {
+        if let Err(error) = check_still_allowed(exchange, &in_flight.server) {
             in_flight.record_outcome(placement::Outcome::Cancelled);
-            return Err((AttemptError::NoLongerAccepts, not_written));
-        }
-        let verdict = exchange.crash_verdict(exchange.state.clock.now_ms());
-        if matches!(verdict, crashes::Verdict::PartBlocked | crashes::Verdict::Held { .. }) {
-            in_flight.record_outcome(placement::Outcome::Cancelled);
-            return Err((AttemptError::Blocked, not_written));
+            return Err((error, not_written));
         }
         let mut request = exchange.request_to(&in_flight.server).map_err(|error| {
             let error = AttemptError::Broken(error.to_string());
             (error, not_written)
         })?;
-        pauses::observe_send(&exchange.state, &in_flight.server, &exchange.head.attempt_id);
         leaving::watch_interim_responses(
             &mut request,
             &exchange.state,
@@ -275,6 +272,25 @@
     }
 }
 
+/// Checks what the host may have learned while the connection was being opened: that the server leaves
+/// or has asked for a pause, or that a part of the prompt ends servers.
+fn check_still_allowed(
+    exchange: &exchange::Exchange,
+    server: &server::BackendServer,
+) -> Result<(), AttemptError> {
+    match exchange.state.current_acceptance(server) {
+        server_notices::Acceptance::Accepts => {}
+        server_notices::Acceptance::Paused { .. } => return Err(AttemptError::Paused),
+        server_notices::Acceptance::Leaving => return Err(AttemptError::Leaving),
+    }
+    match exchange.crash_verdict(exchange.state.clock.now_ms()) {
+        crashes::Verdict::PartBlocked | crashes::Verdict::Held { .. } => Err(AttemptError::Blocked),
+        crashes::Verdict::RequestBlocked { .. }
+        | crashes::Verdict::Suspected
+        | crashes::Verdict::Allowed => Ok(()),
+    }
+}
+
 /// Checks that a response comes from the server, belongs to this attempt and leaves no doubt
 /// whether the request ran.
 fn validate(
@@ -287,7 +303,7 @@
     }
     opened.in_flight.record_load(head);
     if let Some(proof) = execution::NotRunProof::from_response(head) {
-        opened.in_flight.record_outcome(placement::Outcome::Fine);
+        opened.in_flight.record_outcome(placement::Outcome::Declined);
         return Err((AttemptError::Declined(Box::new(head.clone())), Some(proof)));
     }
     let error = if !head.is_sealed || head.is_encoded {
@@ -297,6 +313,7 @@
     } else if head.non_execution == response::NonExecution::Unconfirmed {
         AttemptError::UnprovedNotRun(head.status)
     } else {
+        opened.in_flight.record_acceptance();
         return Ok(opened);
     };
     opened.in_flight.record_outcome(placement::Outcome::Failed);
@@ -546,6 +563,10 @@
         rollouts.record_response(&self.server.service, self.side, self.kind, answer, now_ms);
     }
 
+    fn record_acceptance(&self) {
+        self.state.placement().record_acceptance(&self.server.id);
+    }
+
     fn record_load(&self, head: &response::Head) {
         if let Some(load) = head.load {
             let now_ms = self.state.clock.now_ms();
--- a/crates/gateway/src/dispatch_parameters.rs
+++ b/crates/gateway/src/dispatch_parameters.rs
@@ -89,14 +89,19 @@
         }
     }
 
-    /// Returns the priority that is sent to the server; the organisation's setting takes precedence
-    /// over the route's.
+    /// Returns the priority of the request, 0 being the most urgent; the organisation's setting takes
+    /// precedence over the route's.
     #[must_use]
-    pub fn server_priority(&self) -> u8 {
+    pub fn caller_priority(&self) -> u32 {
         let organisation_priority =
             self.organisation.as_ref().and_then(|organisation| organisation.priority);
-        let priority = organisation_priority.unwrap_or(self.route.priority);
-        u8::try_from(priority.saturating_add(SERVER_PRIORITY_BASE))
+        organisation_priority.unwrap_or(self.route.priority)
+    }
+
+    /// Returns the priority that is sent to the server.
+    #[must_use]
+    pub fn server_priority(&self) -> u8 {
+        u8::try_from(self.caller_priority().saturating_add(SERVER_PRIORITY_BASE))
             .unwrap_or(SERVER_PRIORITY_LOWEST)
             .min(SERVER_PRIORITY_LOWEST)
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::sync::Arc;
 
+use rand::RngExt as _;
 use toucanwall_platform::request;
 use toucanwall_platform::response;
 use toucanwall_policy::admission;
@@ -10,6 +11,7 @@
 use toucanwall_policy::canary;
 use toucanwall_policy::crash_causes;
 use toucanwall_policy::placement;
+use toucanwall_policy::server_notices;
 use toucanwall_routing::configuration;
 use toucanwall_routing::name;
 use toucanwall_routing::server;
@@ -260,9 +262,10 @@
         Arc::clone(&assignment.server)
     }
 
-    /// Does not count an attempt whose request was not sent because the server had begun to leave.
+    /// Does not count an attempt whose request was not sent because the server had begun to leave or
+    /// to pause.
     fn uncount_unsent(&mut self, error: &attempt::AttemptError) {
-        if matches!(error, attempt::AttemptError::NoLongerAccepts) {
+        if matches!(error, attempt::AttemptError::Leaving | attempt::AttemptError::Paused) {
             self.attempts = self.attempts.saturating_sub(1);
         }
     }
@@ -308,10 +311,7 @@
             (placement::Choice::Full, _) => {
                 Self::give_up(execution, bad_gateway, Some(RETRY_SOON_MS), "all servers full")
             }
-            (placement::Choice::NoServer, _) => {
-                let reason = self.reason_for_no_server();
-                Self::give_up(execution, bad_gateway, Some(RETRY_LATER_MS), reason)
-            }
+            (placement::Choice::NoServer, _) => self.give_up_without_server(execution, now_ms),
         }
     }
 
@@ -354,13 +354,24 @@
         }
     }
 
-    fn reason_for_no_server(&self) -> &'static str {
+    fn give_up_without_server(&self, execution: execution::Status, now_ms: u64) -> NextStep {
+        let bad_gateway = hyper::StatusCode::BAD_GATEWAY;
         let has_ready_servers = !self.state.view().ready_servers_of(&self.service).is_empty();
-        if has_ready_servers && self.state.accepting_servers(&self.service).is_empty() {
-            "all servers are leaving"
-        } else {
-            "no server left"
-        }
+        let reason = match self.state.service_acceptance(&self.service) {
+            server_notices::Acceptance::Paused { until_ms } => {
+                let reason = "all servers have asked for a pause";
+                let left_ms = until_ms.saturating_sub(now_ms);
+                let random = rand::rng().random();
+                let retry_after_ms =
+                    admission::retry_after_pause_ms(left_ms, self.caller_priority(), random);
+                return Self::give_up_until(execution, bad_gateway, Some(retry_after_ms), reason);
+            }
+            server_notices::Acceptance::Leaving if has_ready_servers => "all servers are leaving",
+            server_notices::Acceptance::Leaving | server_notices::Acceptance::Accepts => {
+                "no server left"
+            }
+        };
+        Self::give_up(execution, bad_gateway, Some(RETRY_LATER_MS), reason)
     }
 
     fn give_up(
@@ -368,10 +379,20 @@
         status_if_unknown: hyper::StatusCode,
         retry_after_ms: Option<u64>,
         reason: &'static str,
+    ) -> NextStep {
+        let retry_after_ms = retry_after_ms.map(ingress::with_jitter_ms);
+        Self::give_up_until(execution, status_if_unknown, retry_after_ms, reason)
+    }
+
+    /// Gives up with a retry-after time to which no jitter is added.
+    fn give_up_until(
+        execution: execution::Status,
+        status_if_unknown: hyper::StatusCode,
+        retry_after_ms: Option<u64>,
+        reason: &'static str,
     ) -> NextStep {
         NextStep::End(match execution {
             execution::Status::NotRun(not_run) => {
-                let retry_after_ms = retry_after_ms.map(ingress::with_jitter_ms);
                 let status = hyper::StatusCode::SERVICE_UNAVAILABLE;
                 Response::Refused(not_run.refuse(status, retry_after_ms), reason)
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,7 +32,6 @@
     attempts_failed: CounterFamily,
     leaving_notices: CounterFamily,
     pause_requests: CounterFamily,
-    sends_within_pauses: counter::Counter,
     retries: ServiceCounterFamily,
     retry_window: ServiceGaugeFamily,
     connections: CounterFamily,
@@ -65,9 +64,6 @@
         let pause_requests = CounterFamily::default();
         let help = "responses that ask for a pause of their server";
         registry.register("pause_requests", help, pause_requests.clone());
-        let sends_within_pauses = counter::Counter::default();
-        let help = "requests sent to servers that had asked for a pause";
-        registry.register("sends_within_pauses", help, sends_within_pauses.clone());
         let retries = ServiceCounterFamily::default();
         let help = "retries by whether the budget of their service allowed them";
         registry.register("retries", help, retries.clone());
@@ -104,7 +100,6 @@
             attempts_failed,
             leaving_notices,
             pause_requests,
-            sends_within_pauses,
             retries,
             retry_window,
             connections,
@@ -143,7 +138,8 @@
     /// Records a failed attempt.
     pub fn record_attempt_error(&self, error: &attempt::AttemptError) {
         let reason = match error {
-            attempt::AttemptError::NoLongerAccepts => "leaving",
+            attempt::AttemptError::Leaving => "leaving",
+            attempt::AttemptError::Paused => "paused",
             attempt::AttemptError::Blocked => "blocked",
             attempt::AttemptError::Unreachable(_) => "unreachable",
             attempt::AttemptError::NotWritten => "not_written",
@@ -180,11 +176,6 @@
         self.pause_requests.get_or_create(&vec![("request", pause)]).inc();
     }
 
-    /// Records a request that is sent to a server that has asked for a pause.
-    pub fn record_send_within_pause(&self) {
-        self.sends_within_pauses.inc();
-    }
-
     /// Records whether a retry was allowed, and how much of the budget is used.
     pub fn record_retry(
         &self,
--- a/crates/gateway/src/pauses.rs
+++ b/crates/gateway/src/pauses.rs
@@ -24,20 +24,6 @@
     }
 }
 
-/// Logs and counts a request that is sent to a server that has asked for a pause.
-pub fn observe_send(state: &state::GatewayState, server: &server::BackendServer, request: &str) {
-    let now_ms = state.clock.now_ms();
-    let paused_until_ms = state.notices().paused_until_ms(server, now_ms);
-    if let Some(until_ms) = paused_until_ms {
-        state.metrics.record_send_within_pause();
-        log::warn!(
-            target: "toucanwall", request = request, server = server.id.as_str(),
-            pause_left_ms = until_ms.saturating_sub(now_ms);
-            "sent to a server that asked for a pause"
-        );
-    }
-}
-
 fn record_pause(
     state: &state::GatewayState,
     server: &server::BackendServer,
@@ -45,6 +31,9 @@
     pause_ms: u64,
 ) {
     let change = state.notices().record_pause(server, pause_ms, state.clock.now_ms());
+    if change == server_notices::PauseChange::Begun {
+        state.placement().record_pause(&server.id);
+    }
     if change != server_notices::PauseChange::Unchanged {
         log::info!(
             target: "toucanwall", request = request, server = server.id.as_str(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -114,7 +114,7 @@
     let metrics = Arc::new(metrics::Metrics::new());
     let rollouts = Arc::new(rollouts::Rollouts::new(settings.bounds));
     let crashes = Arc::new(crashes::Crashes::new());
-    let notices = Arc::new(Mutex::new(server_notices::ServerNotices::new()));
+    let notices = Arc::new(Mutex::new(server_notices::ServerNotices::new(rand::rng().random())));
     let (views, view) = tokio::sync::watch::channel(Arc::new(view::View::default()));
     let address = settings.peer_address;
     let peer_listener = net::TcpListener::bind(address)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -129,24 +129,36 @@
         &self,
         service: &name::ServiceName,
     ) -> Vec<Arc<server::BackendServer>> {
-        let view = self.view();
+        let (view, now_ms) = (self.view(), self.clock.now_ms());
         let notices = self.notices();
         let accepts = |server: &&Arc<server::BackendServer>| {
-            notices.acceptance(server) == server_notices::Acceptance::Accepts
+            notices.acceptance(server, now_ms) == server_notices::Acceptance::Accepts
         };
         view.ready_servers_of(service).iter().filter(accepts).cloned().collect()
     }
 
-    /// Whether a server that was chosen earlier still accepts new requests.
+    /// Whether a server that was chosen earlier accepts new requests now.
     #[must_use]
-    pub fn still_accepts(&self, server: &server::BackendServer) -> bool {
+    pub fn current_acceptance(&self, server: &server::BackendServer) -> server_notices::Acceptance {
         let view = self.view();
-        let known = view.all_servers.get(&server.id);
-        known.is_some_and(|known| {
-            known.address == server.address
-                && known.started_unix_ms == server.started_unix_ms
-                && self.notices().acceptance(known) == server_notices::Acceptance::Accepts
-        })
+        match view.all_servers.get(&server.id) {
+            Some(known)
+                if known.address == server.address
+                    && known.started_unix_ms == server.started_unix_ms =>
+            {
+                self.notices().acceptance(known, self.clock.now_ms())
+            }
+            Some(_) | None => server_notices::Acceptance::Leaving,
+        }
+    }
+
+    /// Whether the servers of a service accept new requests, and if not, for which reason.
+    #[must_use]
+    pub fn service_acceptance(&self, service: &name::ServiceName) -> server_notices::Acceptance {
+        let (view, now_ms) = (self.view(), self.clock.now_ms());
+        let notices = self.notices();
+        let servers = view.ready_servers_of(service).iter();
+        server_notices::earliest(servers.map(|server| notices.acceptance(server, now_ms)))
     }
 
     /// Counts a request of a service towards its retry budget.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -8,6 +8,12 @@
 /// than the engine reads prompts.
 const MIN_RETRY_MS: u64 = 300;
 
+/// Time after a pause in which callers come back, in percent of what was left of it. The servers
+/// would decline most of them if they came at once.
+const RETURN_SPREAD_PERCENT: u64 = 30;
+/// Priority from which all requests come back at the same time after a pause; 0 is the most urgent.
+const LAST_RETURN_PRIORITY: u32 = 3;
+
 /// The decision on a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
@@ -31,3 +37,14 @@
         _ => Decision::Admit,
     }
 }
+
+/// Time after which a caller may come back when all servers of a service pause for `pause_left_ms`,
+/// in milliseconds: callers of urgent requests first, spread by a random number.
+#[must_use]
+pub fn retry_after_pause_ms(pause_left_ms: u64, priority: u32, random: u64) -> u64 {
+    let half_spread_ms = (pause_left_ms / 200).saturating_mul(RETURN_SPREAD_PERCENT);
+    let rank = u64::from(priority.min(LAST_RETURN_PRIORITY));
+    let by_priority_ms = half_spread_ms / u64::from(LAST_RETURN_PRIORITY) * rank;
+    let by_chance_ms = random % (half_spread_ms + 1);
+    pause_left_ms.saturating_add(by_priority_ms).saturating_add(by_chance_ms)
+}
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -34,6 +34,12 @@
 const REMOTE_DATA_CENTRE_COST_TOKENS: u64 = 100;
 /// Time for which an engine is assumed to cache a prompt part that it has read, in milliseconds.
 const PART_CACHE_TTL_MS: u64 = 8_000;
+/// Number of this host's concurrent requests at a server that comes back from a pause; each request
+/// that the server accepts raises it by one.
+const SLOW_START_REQUESTS: u32 = 1;
+/// Number of concurrent requests from which a server that came back from a pause has no limit of its
+/// own.
+const SLOW_START_END_REQUESTS: u32 = 32;
 /// Number of remembered prompt parts of a server above which expired ones are removed.
 const PRUNE_PARTS_ABOVE: usize = 2_048;
 
@@ -55,6 +61,8 @@
 pub enum Outcome {
     /// The server worked as expected.
     Fine,
+    /// The server declined the request, as an overloaded one does.
+    Declined,
     /// The server failed the request.
     Failed,
     /// The server accepts no connections.
@@ -94,6 +102,9 @@
     failures: u32,
     ejections: u32,
     ejected_until_ms: u64,
+    /// Maximum number of this host's concurrent requests since the server asked for a pause; `None`
+    /// once it has accepted many.
+    slow_start: Option<u32>,
     /// When this host last sent each prompt part to the server.
     part_sent_ms: collections::BTreeMap<u64, u64>,
 }
@@ -134,7 +145,7 @@
         let owner = request.generation.and_then(|generation| owner(generation, &healthy));
         let costs = healthy
             .into_iter()
-            .filter(|server| self.in_flight(&server.id) < request.in_flight_max)
+            .filter(|server| self.has_room(&server.id, request.in_flight_max))
             .map(|server| (self.cost(request, server, owner == Some(&server.id), now_ms), server));
         // Ties are broken at random, so that hosts do not all choose the same server.
         let randomised = costs.map(|(cost, server)| ((cost, rng.random::<u32>()), server));
@@ -168,7 +179,7 @@
         let load = self.loads.entry(id.clone()).or_default();
         load.in_flight = load.in_flight.saturating_sub(1);
         match outcome {
-            Outcome::Fine => {
+            Outcome::Fine | Outcome::Declined => {
                 load.failures = 0;
                 load.ejections = 0;
                 return false;
@@ -189,6 +200,20 @@
         is_ejected
     }
 
+    /// Records that a pause of a server begins. After it, the host's load comes back gradually, as the
+    /// server accepts requests.
+    pub fn record_pause(&mut self, id: &name::ServerId) {
+        self.loads.entry(id.clone()).or_default().slow_start = Some(SLOW_START_REQUESTS);
+    }
+
+    /// Records that a server has accepted a request.
+    pub fn record_acceptance(&mut self, id: &name::ServerId) {
+        if let Some(load) = self.loads.get_mut(id) {
+            let raised = load.slow_start.map(|limit| limit + 1);
+            load.slow_start = raised.filter(|limit| *limit < SLOW_START_END_REQUESTS);
+        }
+    }
+
     /// Records the load that a server reported.
     pub fn record_load(&mut self, id: &name::ServerId, running: u32, waiting: u32, now_ms: u64) {
         let load = self.loads.entry(id.clone()).or_default();
@@ -210,6 +235,12 @@
         self.loads.get(id).map_or(0, |load| load.in_flight)
     }
 
+    /// Whether this host may send another request to a server now.
+    fn has_room(&self, id: &name::ServerId, in_flight_max: u32) -> bool {
+        let slow_start = self.loads.get(id).and_then(|load| load.slow_start);
+        self.in_flight(id) < slow_start.map_or(in_flight_max, |limit| limit.min(in_flight_max))
+    }
+
     /// Expected numbers of running and of waiting requests at a server.
     #[must_use]
     pub fn expected_load(&self, id: &name::ServerId, now_ms: u64) -> (u32, u32) {
--- a/crates/policy/src/server_notices.rs
+++ b/crates/policy/src/server_notices.rs
@@ -7,21 +7,30 @@
 //!
 //! A server may also ask a host for a pause. Each such request has an end of its own, so the latest
 //! end counts, and a later, shorter request does not move it. A pause is no failure of the server and
-//! is kept by the host that was asked alone.
+//! is kept by the host that was asked alone. Hosts return at different times, so that the server is
+//! not flooded at the end of its pause.
 
 use std::collections;
 use std::net;
 
 use toucanwall_routing::name;
 use toucanwall_routing::server;
+use xxhash_rust::xxh3;
 
 /// Time for which a notice is kept after the entry of its server has vanished, in milliseconds:
 /// longer than any list of servers may be out of date.
 const RETENTION_MS: u64 = 600_000;
 
+/// Longest time after a pause until a host sends requests again, in percent of the pause.
+const RETURN_SPREAD_PERCENT: u64 = 5;
+/// Longest time after a pause until a host sends requests again, in milliseconds.
+const RETURN_SPREAD_MAX_MS: u64 = 100;
+
 /// What the servers have said of themselves, as known to this host.
 #[derive(Debug, Default)]
 pub struct ServerNotices {
+    /// Decides when this host returns to a server after a pause.
+    seed: u64,
     notices: collections::BTreeMap<name::ServerId, Notice>,
 }
 
@@ -31,7 +40,8 @@
     run: Run,
     /// Whether the server has said that it leaves.
     is_leaving: bool,
-    /// Latest end of the pauses for which the server has asked, in milliseconds; 0 without one.
+    /// When this host returns to the server after the latest end of its pauses, in milliseconds; 0
+    /// without a pause.
     paused_until_ms: u64,
     /// When the host last knew an entry of the server, or heard the notice, in milliseconds.
     last_known_ms: u64,
@@ -45,10 +55,15 @@
 }
 
 /// Whether a server accepts new requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Acceptance {
     /// The server accepts new requests.
     Accepts,
+    /// The server wants no requests from this host for a while.
+    Paused {
+        /// When this host returns to the server, in milliseconds.
+        until_ms: u64,
+    },
     /// The server finishes its open requests and shuts down.
     Leaving,
 }
@@ -65,10 +80,11 @@
 }
 
 impl ServerNotices {
-    /// Creates a record without notices.
+    /// Creates a record without notices. Hosts with different seeds return at different times after
+    /// a pause.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(seed: u64) -> Self {
+        Self { seed, ..Self::default() }
     }
 
     /// Records that a run of a server has said that it leaves; returns whether that is new.
@@ -84,8 +100,9 @@
         pause_ms: u64,
         now_ms: u64,
     ) -> PauseChange {
+        let spread_ms = self.return_spread_ms(&server.id, pause_ms);
         let Some(notice) = self.notice_mut(server, now_ms) else { return PauseChange::Unchanged };
-        let until_ms = now_ms.saturating_add(pause_ms);
+        let until_ms = now_ms.saturating_add(pause_ms).saturating_add(spread_ms);
         let former_ms = notice.paused_until_ms;
         notice.paused_until_ms = former_ms.max(until_ms);
         if until_ms <= former_ms || pause_ms == 0 {
@@ -97,20 +114,18 @@
         }
     }
 
-    /// End of the pause for which a server has asked, in milliseconds; `None` if there is none now.
-    #[must_use]
-    pub fn paused_until_ms(&self, server: &server::BackendServer, now_ms: u64) -> Option<u64> {
-        let notice = self.notice_of(server)?;
-        (now_ms < notice.paused_until_ms).then_some(notice.paused_until_ms)
-    }
-
     /// Whether a server accepts new requests, by its entry and by all that it has said before.
     #[must_use]
-    pub fn acceptance(&self, server: &server::BackendServer) -> Acceptance {
-        let has_left = self.notice_of(server).is_some_and(|it| it.is_leaving);
-        match server.readiness {
-            server::Readiness::Ready if !has_left => Acceptance::Accepts,
-            server::Readiness::Ready | server::Readiness::Draining => Acceptance::Leaving,
+    pub fn acceptance(&self, server: &server::BackendServer, now_ms: u64) -> Acceptance {
+        let notice = self.notice_of(server);
+        let is_draining = server.readiness == server::Readiness::Draining;
+        match notice {
+            _ if is_draining => Acceptance::Leaving,
+            Some(notice) if notice.is_leaving => Acceptance::Leaving,
+            Some(notice) if now_ms < notice.paused_until_ms => {
+                Acceptance::Paused { until_ms: notice.paused_until_ms }
+            }
+            Some(_) | None => Acceptance::Accepts,
         }
     }
 
@@ -127,6 +142,13 @@
         });
     }
 
+    /// Time from the end of a server's pause until this host sends it requests again.
+    fn return_spread_ms(&self, id: &name::ServerId, pause_ms: u64) -> u64 {
+        let spread_max_ms =
+            (pause_ms / 100).saturating_mul(RETURN_SPREAD_PERCENT).min(RETURN_SPREAD_MAX_MS);
+        xxh3::xxh3_64_with_seed(id.as_str().as_bytes(), self.seed) % (spread_max_ms + 1)
+    }
+
     /// What this run of a server, or a later one under its id, has said.
     fn notice_of(&self, server: &server::BackendServer) -> Option<&Notice> {
         self.notices.get(&server.id).filter(|notice| !Run::of(server).is_later_than(notice.run))
@@ -145,6 +167,16 @@
     }
 }
 
+/// When the first of several servers accepts requests.
+#[must_use]
+pub fn earliest<I>(acceptances: I) -> Acceptance
+where
+    I: IntoIterator<Item = Acceptance>,
+{
+    // The variants are in the order of the time at which they accept requests.
+    acceptances.into_iter().min().unwrap_or(Acceptance::Leaving)
+}
+
 impl Notice {
     fn new(run: Run) -> Self {
         Self { run, is_leaving: false, paused_until_ms: 0, last_known_ms: 0 }
