--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -156,7 +156,12 @@
         loop {
             let after = objects.last().map(|object| Arc::clone(&object.metadata.name));
             let page = self.store.list(self.kind, after.as_deref()).await?;
-            let is_last = !page.has_more || page.entries.is_empty();
+            let is_last = !page.has_more;
+            let last_name = page.entries.last().map(|object| &object.metadata.name);
+            if !is_last && last_name <= after.as_ref() {
+                let reason = "a page of a listing does not continue the one before";
+                return Err(store::StoreError::Malformed(reason.to_owned()));
+            }
             // Objects on earlier pages may have changed by the time a later page is read, so watch
             // from the revision of the first page.
             let revision = *revision.get_or_insert(page.revision);
