Count the load that a server reports without an overflow

A server may state any load in its responses. The sum of the largest numbers overflowed: a debug build panicked while it placed the request, a release build took the server for an idle one. The two new tests in pressure.rs panic without this change. Token counts are bounded by the decoder, but placement no longer relies on it.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -158,7 +158,8 @@
     pub fn record_start(&mut self, id: &name::ServerId, request: Request<'_>, now_ms: u64) {
         let load = self.loads.entry(id.clone()).or_default();
         load.in_flight += 1;
-        load.pending_prompt_units += request.prompt_units();
+        load.pending_prompt_units =
+            load.pending_prompt_units.saturating_add(request.prompt_units());
         for part in request.shared_parts() {
             load.part_sent_ms.insert(part.id, now_ms);
         }
@@ -247,9 +248,10 @@
         let Some(load) = self.loads.get(id) else { return (0, 0) };
         let recent = load.report.filter(|report| now_ms < report.received_ms + REPORT_MAX_AGE_MS);
         let Some(report) = recent else { return (load.in_flight, 0) };
-        let others = (report.running + report.waiting).saturating_sub(report.own_in_flight);
+        let others =
+            report.running.saturating_add(report.waiting).saturating_sub(report.own_in_flight);
         let waiting = report.waiting.min(others);
-        (load.in_flight + others - waiting, waiting)
+        (load.in_flight.saturating_add(others - waiting), waiting)
     }
 
     fn cost(
@@ -264,17 +266,16 @@
             u64::from(server.data_centre != *request.data_centre) * REMOTE_DATA_CENTRE_COST_TOKENS;
         if request.generation.is_none() {
             // At a server of a plain service, a request costs less the more slots the server has.
-            let load_cost = u64::from(running + waiting) * WAITING_REQUEST_COST_TOKENS;
+            let load_cost = (u64::from(running) + u64::from(waiting)) * WAITING_REQUEST_COST_TOKENS;
             return load_cost / u64::from(server.slots.max(1)) + distance_cost;
         }
         let pending = self.loads.get(&server.id).map_or(0, |load| load.pending_prompt_units);
+        let uncached = self.uncached_tokens(request, &server.id, is_owner, now_ms);
+        let load_cost = u64::from(running) * RUNNING_REQUEST_COST_TOKENS
+            + u64::from(waiting) * WAITING_REQUEST_COST_TOKENS;
         pending
-            + u64::from(running) * RUNNING_REQUEST_COST_TOKENS
-            + u64::from(waiting) * WAITING_REQUEST_COST_TOKENS
-            + request.scale_to_smallest_model(
-                self.uncached_tokens(request, &server.id, is_owner, now_ms),
-            )
-            + distance_cost
+            .saturating_add(request.scale_to_smallest_model(uncached))
+            .saturating_add(load_cost + distance_cost)
     }
 
     /// Number of prompt tokens that a server has to read because they are not cached; the owner of
@@ -291,9 +292,8 @@
             let sent_ms = load.and_then(|load| load.part_sent_ms.get(&part.id));
             is_owner || sent_ms.is_some_and(|at_ms| now_ms < at_ms + PART_CACHE_TTL_MS)
         };
-        let cached: u64 =
-            request.shared_parts().iter().take_while(is_cached).map(|part| part.tokens).sum();
-        request.prompt_tokens().saturating_sub(cached)
+        let cached = request.shared_parts().iter().take_while(is_cached).map(|part| part.tokens);
+        request.prompt_tokens().saturating_sub(cached.fold(0, u64::saturating_add))
     }
 
     /// Leaves out ejected servers, unless too many of them are ejected.
@@ -323,7 +323,7 @@
     }
 
     fn scale_to_smallest_model(&self, tokens: u64) -> u64 {
-        tokens * self.relative_cost_percent / 100
+        tokens.saturating_mul(self.relative_cost_percent) / 100
     }
 
     fn shared_parts(&self) -> &[generation::PromptPart] {
--- a/crates/policy/tests/pressure.rs
+++ b/crates/policy/tests/pressure.rs
@@ -323,3 +323,40 @@
 ) {
     assert_eq!(admission::decide(expected_ms, remaining_ms), decision);
 }
+
+/// A faulty server may report any load.
+#[rstest]
+fn server_that_reports_the_largest_load_is_the_last_choice() {
+    let servers = servers(2);
+    let generation = generation_request(1, 2);
+    let mut placement = placement::Placement::new();
+    placement.record_load(&servers[0].id, u32::MAX, u32::MAX, 0);
+    for seed in 0..20 {
+        let chosen = choose(&placement, &generation, &servers, seed);
+        assert_eq!(chosen.map(|it| it.id.clone()), Some(servers[1].id.clone()));
+    }
+}
+
+/// A caller may state any number of tokens.
+#[rstest]
+fn request_that_states_the_largest_prompt_is_placed() {
+    let servers = servers(2);
+    let part = |id| generation::PromptPart { id, tokens: u64::MAX };
+    let generation = generation::GenerationRequest {
+        prompt_tokens: u64::MAX,
+        parts: vec![part(1), part(2), part(3)],
+        ..generation::GenerationRequest::default()
+    };
+    let data_centre = name::DataCentre::from("dc");
+    let request = placement::Request {
+        generation: Some(&generation),
+        data_centre: &data_centre,
+        in_flight_max: 100,
+        relative_cost_percent: 1_000,
+    };
+    let mut placement = placement::Placement::new();
+    for _ in 0..3 {
+        let chosen = choose(&placement, &generation, &servers, 1).expect("a server");
+        placement.record_start(&chosen.id, request, 0);
+    }
+}
