Take a refusal as proof only if it names its own attempt

Other operators saw clients told 'not run, try again' for requests that had run, after a faulty server had written an earlier refusal once more. Such a refusal that names another attempt was no proof here already.

--- a/crates/gateway/src/execution.rs
+++ b/crates/gateway/src/execution.rs
@@ -99,9 +99,12 @@
         Self(())
     }
 
-    /// Returns the proof that the response carries, if any.
+    /// Returns the proof that the response carries, if any. A response that does not name the attempt
+    /// may be an earlier one that the server has written once more.
     #[must_use]
     pub fn from_response(head: &response::Head) -> Option<Self> {
-        (head.non_execution == response::NonExecution::Confirmed).then_some(Self(()))
+        let is_own = head.matches_attempt == Some(true);
+        let is_confirmed = head.non_execution == response::NonExecution::Confirmed;
+        (is_own && is_confirmed).then_some(Self(()))
     }
 }
