Keep the errors of servers out of streams that have begun

Other operators saw a stream break off and the next server's error, at times its whole head, in the middle of it, or a stream that ended as if it were complete.

An error is no stream, whatever its type; in a stream with numbered events each event but a comment needs the next number; a connection that ends before the first event is a break also when a stream is resumed. Open: a server that answers a resumption with a framed, sealed stream without events ends the stream; nothing tells it from one that has no events left.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -197,8 +197,9 @@
             let server = self.record_attempt(&assignment);
             let timeout = self.response_timeout();
             execution = match attempt::send(self, assignment, timeout).await {
-                Ok(opened) if stream::is_event_stream(&opened.parts) => return Ok(opened),
-                Ok(opened) => {
+                Ok(opened) if stream::is_event_stream(&opened) => return Ok(opened),
+                Ok(mut opened) => {
+                    opened.in_flight.record_outcome(placement::Outcome::Failed);
                     self.log_event("resumption failed", &server, opened.head.status.as_str());
                     sent.unknown()
                 }
@@ -435,7 +436,7 @@
             opened.in_flight.record_first_byte();
             return (AttemptOutcome::Escalate(model), None);
         }
-        if opened.head.status.is_success() && stream::is_event_stream(&opened.parts) {
+        if stream::is_event_stream(&opened) {
             return (self.begin_stream(opened).await, None);
         }
         self.buffer_response(opened).await
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -27,6 +27,12 @@
         /// ID of the received event.
         got: u64,
     },
+    /// An event has no ID, though the previous one has: it may be the text of an error.
+    #[error("event without an ID follows event ID {last}")]
+    Unnumbered {
+        /// ID of the previous event.
+        last: u64,
+    },
     /// An event exceeds the size limit.
     #[error("event is larger than {EVENT_MAX_BYTES} bytes")]
     TooLong,
@@ -48,11 +54,12 @@
         self.buffer.extend_from_slice(bytes);
         let mut complete_len = 0;
         while let Some(end) = event_end(&self.buffer[complete_len..]) {
-            if let Some(id) = event_id(&self.buffer[complete_len..complete_len + end]) {
+            let event = &self.buffer[complete_len..complete_len + end];
+            if !is_comment(event) {
+                let id = event_id(event);
+                self.events += 1;
                 self.advance_to(id)?;
             }
-            let event = &self.buffer[complete_len..complete_len + end];
-            self.events += u64::from(!is_comment(event));
             complete_len += end;
         }
         if self.buffer.len() - complete_len > EVENT_MAX_BYTES {
@@ -80,13 +87,15 @@
         self.buffer.is_empty()
     }
 
-    fn advance_to(&mut self, id: u64) -> Result<(), EventError> {
-        if let Some(last) = self.last_id
-            && id != last + 1
-        {
-            return Err(EventError::OutOfOrder { last, got: id });
+    /// Checks the id of the next event. A stream either numbers all of its events or none.
+    fn advance_to(&mut self, id: Option<u64>) -> Result<(), EventError> {
+        match (self.last_id, id) {
+            (Some(last), None) => return Err(EventError::Unnumbered { last }),
+            (Some(last), Some(got)) if last.checked_add(1) != Some(got) => {
+                return Err(EventError::OutOfOrder { last, got });
+            }
+            (_, id) => self.last_id = id,
         }
-        self.last_id = Some(id);
         Ok(())
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -66,11 +66,12 @@
 #[error("stream aborted: {0}")]
 pub struct StreamError(&'static str);
 
-/// Returns whether a response is an event stream.
+/// Returns whether a response is an event stream. An error is none, whatever its type.
 #[must_use]
-pub fn is_event_stream(parts: &hyper::http::response::Parts) -> bool {
-    let content_type = parts.headers.get(hyper::header::CONTENT_TYPE);
-    content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+pub fn is_event_stream(opened: &attempt::OpenResponse) -> bool {
+    let content_type = opened.parts.headers.get(hyper::header::CONTENT_TYPE);
+    opened.head.status.is_success()
+        && content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
 }
 
 impl EventStream {
@@ -263,12 +264,8 @@
                     return Err(self.in_flight.record_break(reason).await);
                 }
                 // The end of the connection before the first event is no answer. A resumed stream may
-                // have no events left.
-                Ok(None)
-                    if splitter.last_id().is_none()
-                        && splitter.events() == 0
-                        && self.in_flight.ends_with_connection() =>
-                {
+                // have no events left, but then its server looks like one that has ended.
+                Ok(None) if splitter.events() == 0 && self.in_flight.ends_with_connection() => {
                     let reason = "connection ended before the first event".to_owned();
                     return Err(self.in_flight.record_break(reason).await);
                 }
