Let servers of the soak ask for pauses

For each request for a pause, the requests of that host that reach the server within it are counted from what the server saw; a host that was stopped or killed and a server whose link was disrupted meanwhile are not counted, as the rule says.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -49,6 +49,12 @@
 const LATE_SENDS_MAX: usize = 3;
 /// Time for which requests with the part are counted at the end.
 const COUNTED_TIME: time::Duration = time::Duration::from_secs(2);
+/// Time after a response that asks for a pause from which requests of its host are counted.
+const NOTICE_TIME: time::Duration = time::Duration::from_millis(500);
+/// Requests from one host that may reach a server within a pause.
+const PAUSE_SENDS_MAX: usize = 2;
+/// Part of the pauses that all servers of a service ask for.
+const SERVICE_PAUSES: f64 = 0.3;
 /// Path of non-idempotent requests.
 const BOOKING_PATH: &str = "/book/x";
 const LAST_EVENT: u64 = 6;
@@ -89,11 +95,22 @@
     proxies: Vec<proxy::Proxy>,
     store_proxy: proxy::Proxy,
     violations: Mutex<Vec<String>>,
+    /// The host that each request was sent to.
+    hosts_of_requests: Mutex<collections::BTreeMap<String, usize>>,
+    /// Beginnings and ends of disruptions: pauses around such a moment are not counted.
+    disruptions: Mutex<Vec<(Disrupted, time::Instant)>>,
     requests_sent: atomic::AtomicU64,
     requests_served: atomic::AtomicU64,
     is_finished: atomic::AtomicBool,
 }
 
+/// A host that was stopped, started or let go on, or a server whose link was disrupted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Disrupted {
+    Host(usize),
+    Server(usize),
+}
+
 /// A fault of a host, a server, the store or a connection; hosts and servers are given by index.
 #[derive(Debug, Clone, Copy)]
 enum Fault {
@@ -106,6 +123,8 @@
     StoreMode(store::Mode),
     DropHistory,
     Misbehave(usize),
+    /// Servers ask for a pause: one of them or all of its service.
+    AskForPause(usize),
 }
 
 impl Deployment {
@@ -149,6 +168,8 @@
             proxies,
             store_proxy,
             violations: Mutex::new(Vec::new()),
+            hosts_of_requests: Mutex::default(),
+            disruptions: Mutex::default(),
             requests_sent: atomic::AtomicU64::new(0),
             requests_served: atomic::AtomicU64::new(0),
             is_finished: atomic::AtomicBool::new(false),
@@ -192,6 +213,7 @@
             };
             let method = if is_crashing { "POST" } else { method };
             self.requests_sent.fetch_add(1, atomic::Ordering::SeqCst);
+            self.record_request(&id, host);
             let response = {
                 let fleet = self.fleet.read().await;
                 let headers = prompt_headers(&prompt);
@@ -268,8 +290,69 @@
         }
     }
 
+    fn record_request(&self, id: &str, host: usize) {
+        let mut hosts = self.hosts_of_requests.lock().expect("the lock is not poisoned");
+        hosts.insert(id.to_owned(), host);
+    }
+
+    fn record_disruption(&self, fault: Fault) {
+        let disrupted = match fault {
+            Fault::Pause(host) | Fault::Kill(host) | Fault::Terminate(host) => {
+                Disrupted::Host(host)
+            }
+            Fault::ServerLink(server, _) => Disrupted::Server(server),
+            _ => return,
+        };
+        let mut disruptions = self.disruptions.lock().expect("the lock is not poisoned");
+        disruptions.push((disrupted, time::Instant::now()));
+    }
+
+    /// Checks that hosts that were not disrupted meanwhile have sent few requests to a server within a
+    /// pause that it had asked them for.
+    fn check_pauses(&self) -> usize {
+        let hosts = self.hosts_of_requests.lock().expect("the lock is not poisoned").clone();
+        let disruptions = self.disruptions.lock().expect("the lock is not poisoned").clone();
+        let mut checked = 0;
+        for (number, server) in self.desks.iter().chain(&self.engines).enumerate() {
+            let arrivals = server.arrivals();
+            for pause in server.pauses() {
+                let Some(host) = hosts.get(&pause.attempt_id) else { continue };
+                let concerned = [Disrupted::Host(*host), Disrupted::Server(number)];
+                let is_disrupted = disruptions.iter().any(|(disrupted, at)| {
+                    concerned.contains(disrupted)
+                        && *at + NOTICE_TIME > pause.at
+                        && *at < pause.until
+                });
+                if is_disrupted {
+                    continue;
+                }
+                checked += 1;
+                let is_late = |arrival: &&backend::Arrival| {
+                    hosts.get(&arrival.attempt_id) == Some(host)
+                        && arrival.at > pause.at + NOTICE_TIME
+                        && arrival.at < pause.until
+                };
+                let late = arrivals.iter().filter(is_late).count();
+                if late > PAUSE_SENDS_MAX {
+                    self.record_violation(format!(
+                        "host {host} sent {late} requests to {} within the pause asked for in the \
+                         response to {}",
+                        server.id, pause.attempt_id
+                    ));
+                }
+            }
+        }
+        checked
+    }
+
     /// Injects a fault and ends it after `duration`.
     async fn inject(&self, fault: Fault, duration: time::Duration, rng: &mut Rng) {
+        self.record_disruption(fault);
+        self.run_fault(fault, duration, rng).await;
+        self.record_disruption(fault);
+    }
+
+    async fn run_fault(&self, fault: Fault, duration: time::Duration, rng: &mut Rng) {
         match fault {
             // The signal fails if the other fault sequence has terminated the host, which is
             // harmless.
@@ -318,6 +401,22 @@
                 fleet.store.abort_watches();
             }
             Fault::Misbehave(server) => self.enqueue_misbehaviour(server, rng),
+            Fault::AskForPause(server) => self.pause_servers(server, duration, rng),
+        }
+    }
+
+    /// Makes a server, or all of its service, ask for a pause.
+    fn pause_servers(&self, server: usize, duration: time::Duration, rng: &mut Rng) {
+        let (servers, number) = match server.checked_sub(DESK_COUNT) {
+            None => (&self.desks, server),
+            Some(engine) => (&self.engines, engine),
+        };
+        if rng.random_bool(SERVICE_PAUSES) {
+            for server in servers {
+                server.pause(duration * 2);
+            }
+        } else {
+            servers[number].pause(duration * 2);
         }
     }
 
@@ -364,7 +463,7 @@
     let link_mode = link_modes[rng.random_range(0..link_modes.len())];
     let store_modes =
         [store::Mode::Unavailable, store::Mode::Unresponsive, store::Mode::EmptyWatches];
-    match rng.random_range(0..20) {
+    match rng.random_range(0..24) {
         0..3 => Fault::Pause(host),
         3..5 => Fault::Kill(host),
         5 => Fault::Terminate(host),
@@ -373,6 +472,7 @@
         10 => Fault::StoreLink(link_mode),
         11 => Fault::StoreMode(store_modes[rng.random_range(0..store_modes.len())]),
         12 => Fault::DropHistory,
+        20..24 => Fault::AskForPause(server),
         _ => Fault::Misbehave(server),
     }
 }
@@ -415,9 +515,10 @@
             ));
         }
     }
+    let pauses = deployment.check_pauses();
     let (requests_sent, requests_served) = (&deployment.requests_sent, &deployment.requests_served);
     println!(
-        "seed {seed}: {} requests, {} served, {} crashes",
+        "seed {seed}: {} requests, {} served, {} crashes, {pauses} requests for a pause checked",
         requests_sent.load(atomic::Ordering::SeqCst),
         requests_served.load(atomic::Ordering::SeqCst),
         deployment.crashes()
