--- a/crates/daemon/tests/paused_servers.rs
+++ b/crates/daemon/tests/paused_servers.rs
@@ -292,10 +292,15 @@
     scenario.assert_pauses_are_kept();
 }
 
-/// A request chooses its server and then opens a connection; the server asks for a pause meanwhile.
+/// A request chooses its server and then opens a connection; meanwhile the server asks for a pause or
+/// says that it leaves.
 #[rstest]
+#[case::pause(false)]
+#[case::leaving(true)]
 #[tokio::test(flavor = "multi_thread")]
-async fn request_that_is_connecting_when_its_server_asks_for_a_pause_goes_elsewhere() {
+async fn request_that_is_connecting_when_its_server_stops_accepting_goes_elsewhere(
+    #[case] leaves: bool,
+) {
     const CALLERS: usize = 16;
     let request = |id: &str| {
         format!(
@@ -312,13 +317,19 @@
     for caller in &mut callers {
         read_response(caller).await;
     }
-    // Both servers are asked; the first one answers while the host stands still.
+    // One of the servers is asked, and answers while the host stands still.
     for server in [&scenario.paused, &scenario.other] {
-        server.enqueue([Behaviour::AskForPause(backend::PauseResponse {
-            retry_after: PAUSE.to_owned(),
-            delay: PROMPT,
-            form: PauseForm::Declined,
-        })]);
+        let response = if leaves {
+            server.announce_leaving(true);
+            Behaviour::RespondAfter(PROMPT)
+        } else {
+            Behaviour::AskForPause(backend::PauseResponse {
+                retry_after: PAUSE.to_owned(),
+                delay: PROMPT,
+                form: PauseForm::Declined,
+            })
+        };
+        server.enqueue([response]);
     }
     let asked = scenario.fleet.prepare_request(0, "POST", "/book/x", "asked");
     let asked = tokio::spawn(asked.send());
@@ -340,9 +351,9 @@
     }
     assert!(served + 1 >= CALLERS, "{served} of {CALLERS} served\n{}", scenario.fleet.log(0));
     let servers = [&scenario.paused, &scenario.other];
-    let has_asked =
-        |it: &&&backend::Backend| it.pauses().iter().any(|pause| pause.attempt_id == "asked");
-    let paused = servers.iter().find(has_asked).expect("a server that has answered");
+    let was_asked =
+        |it: &&&backend::Backend| it.arrivals().iter().any(|it| it.attempt_id == "asked");
+    let paused = servers.iter().find(was_asked).expect("a server that was asked");
     let is_late = |arrival: &&backend::Arrival| arrival.attempt_id.starts_with("second-");
     let late = paused.arrivals().iter().filter(is_late).count();
     assert_eq!(late, 0, "{}", scenario.fleet.log(0));
@@ -423,3 +434,13 @@
     }
     assert_eq!(send_together("second").await, CALLERS, "{}", fleet.log(0));
 }
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_connection_is_opened_to_a_paused_server() {
+    let scenario = Scenario::start("/book/x").await;
+    scenario.ask_for_pause(Behaviour::ask_for_pause(PAUSE)).await;
+    let before = scenario.paused.connections_opened();
+    scenario.probe().await;
+    assert_eq!(scenario.paused.connections_opened(), before, "{}", scenario.fleet.log(0));
+}
--- a/crates/policy/tests/server_notices.rs
+++ b/crates/policy/tests/server_notices.rs
@@ -152,6 +152,15 @@
     assert_eq!(notices.acceptance(&later, 1_000 + RETURN_SPREAD_MAX_MS), Acceptance::Accepts);
 }
 
+#[rstest]
+fn later_run_that_asks_for_a_pause_inherits_nothing_from_an_earlier_one() {
+    let (mut notices, later) = (ServerNotices::new(0), server(80, Some(6)));
+    notices.record_pause(&server(80, Some(5)), 9_000, 0);
+    notices.record_leaving(&server(80, Some(5)), 1);
+    assert_eq!(notices.record_pause(&later, 1_000, 2), PauseChange::Begun);
+    assert_eq!(notices.acceptance(&later, 1_002 + RETURN_SPREAD_MAX_MS), Acceptance::Accepts);
+}
+
 #[rstest]
 fn paused_server_that_leaves_does_not_return() {
     let (mut notices, entry) = (ServerNotices::new(0), server(80, Some(5)));
