Keep sessions on their version while its servers pause

The side is now chosen among all servers that do not leave, and the paused ones are left out after it. A request without a session whose new servers all pause goes to the old ones, which is safe.

Both new tests of rollouts.rs fail without this or without that exception, and pass with it.

--- a/crates/daemon/tests/rollouts.rs
+++ b/crates/daemon/tests/rollouts.rs
@@ -72,3 +72,51 @@
     tokio::time::sleep(time::Duration::from_secs(1)).await;
     assert_eq!(state(&fleet), "in_progress", "{}", fleet.log(0));
 }
+
+/// A pause ends, so it changes nothing about who may run which version.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_not_moved_to_another_version_while_the_servers_of_theirs_pause(
+    #[values(true, false)] has_session: bool,
+) {
+    let old = backend::Backend::start("s-1", backend::Behaviour::Respond).await;
+    let new = new_servers(backend::Behaviour::Respond).await;
+    let fleet = start(&old, &new).await;
+    let session = [("session", "one")];
+    let headers = if has_session { &session[..] } else { &[] };
+    let target_runs = || new[0].executed().len() + new[1].executed().len();
+    let moved = async || {
+        let before = target_runs();
+        for _ in 0..EARLIER_REQUESTS {
+            fleet.send(0, "GET", "/read/x", headers).await.expect("a response");
+        }
+        target_runs() - before
+    };
+    let usual = moved().await;
+    old.pause(time::Duration::from_secs(5));
+    let during_pause = moved().await;
+    let exposed = EARLIER_REQUESTS / 4;
+    assert!(usual < exposed && during_pause < exposed, "{usual}, {during_pause}\n{}", fleet.log(0));
+    if has_session {
+        assert_eq!((usual, during_pause), (0, 0), "{}", fleet.log(0));
+    }
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_without_a_session_is_served_by_the_old_version_while_the_new_one_pauses() {
+    let old = backend::Backend::start("s-1", backend::Behaviour::Respond).await;
+    let new = new_servers(backend::Behaviour::Respond).await;
+    let fleet = start(&old, &new).await;
+    for server in &new {
+        server.pause(time::Duration::from_secs(5));
+    }
+    let mut ids = gateway_fleet::canary_request_ids();
+    // The first request may be declined by both of the new servers.
+    let first = ids.next().expect("an id");
+    fleet.prepare_request(0, "GET", "/read/x", &first).send().await.expect("a response");
+    for id in ids.take(CANARY_REQUESTS) {
+        let response = fleet.prepare_request(0, "GET", "/read/x", &id).send().await;
+        assert_eq!(response.map(|it| it.status), Some(200), "{id}\n{}", fleet.log(0));
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -358,7 +358,8 @@
     fn give_up_without_server(&self, execution: execution::Status, now_ms: u64) -> NextStep {
         let bad_gateway = hyper::StatusCode::BAD_GATEWAY;
         let has_ready_servers = !self.state.view().ready_servers_of(&self.service).is_empty();
-        let reason = match self.state.service_acceptance(&self.service) {
+        let (servers, _) = self.servers_on_side(self.rollout_request(), now_ms);
+        let reason = match self.state.earliest_acceptance(&servers) {
             server_notices::Acceptance::Paused { until_ms } => {
                 let reason = "all servers have asked for a pause";
                 let left_ms = until_ms.saturating_sub(now_ms);
@@ -409,10 +410,14 @@
         placement_request: placement::Request<'_>,
         excluded: &collections::BTreeSet<name::ServerId>,
     ) -> (placement::Choice, Option<canary::Side>) {
-        let servers = self.state.accepting_servers(&self.service);
         let request = self.rollout_request();
-        let rollouts = &self.state.rollouts;
-        let (servers, side) = rollouts.eligible_servers(&self.service, &servers, request, now_ms);
+        let (mut servers, mut side) = self.servers_on_side(request, now_ms);
+        self.state.retain_accepting(&mut servers);
+        if servers.is_empty() && side == Some(canary::Side::Target) && !request.has_session {
+            let on_baseline = canary::Request { has_failed_on_target: true, ..request };
+            (servers, side) = self.servers_on_side(on_baseline, now_ms);
+            self.state.retain_accepting(&mut servers);
+        }
         let choice = self.state.placement().choose(
             placement_request,
             &servers,
@@ -423,6 +428,17 @@
         (choice, side)
     }
 
+    /// The servers that may run a request, some of which may pause. Pauses end, so they do not move a
+    /// request to the other side of a roll-out.
+    fn servers_on_side(
+        &self,
+        request: canary::Request,
+        now_ms: u64,
+    ) -> (Vec<Arc<server::BackendServer>>, Option<canary::Side>) {
+        let servers = self.state.staying_servers(&self.service);
+        self.state.rollouts.eligible_servers(&self.service, &servers, request, now_ms)
+    }
+
     /// Makes an attempt. Also returns the server's 5xx response if the attempt may be retried.
     async fn run_attempt(
         &self,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -123,18 +123,24 @@
         self.notices.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The servers of a service that accept new requests now.
+    /// The servers of a service that accept new requests now or after a pause.
     #[must_use]
-    pub fn accepting_servers(
-        &self,
-        service: &name::ServiceName,
-    ) -> Vec<Arc<server::BackendServer>> {
+    pub fn staying_servers(&self, service: &name::ServiceName) -> Vec<Arc<server::BackendServer>> {
         let (view, now_ms) = (self.view(), self.clock.now_ms());
         let notices = self.notices();
-        let accepts = |server: &&Arc<server::BackendServer>| {
-            notices.acceptance(server, now_ms) == server_notices::Acceptance::Accepts
+        let stays = |server: &&Arc<server::BackendServer>| {
+            notices.acceptance(server, now_ms) != server_notices::Acceptance::Leaving
         };
-        view.ready_servers_of(service).iter().filter(accepts).cloned().collect()
+        view.ready_servers_of(service).iter().filter(stays).cloned().collect()
+    }
+
+    /// Keeps the servers that accept new requests now.
+    pub fn retain_accepting(&self, servers: &mut Vec<Arc<server::BackendServer>>) {
+        let now_ms = self.clock.now_ms();
+        let notices = self.notices();
+        servers.retain(|server| {
+            notices.acceptance(server, now_ms) == server_notices::Acceptance::Accepts
+        });
     }
 
     /// Whether a server that was chosen earlier accepts new requests now.
@@ -152,13 +158,16 @@
         }
     }
 
-    /// Whether the servers of a service accept new requests, and if not, for which reason.
+    /// Whether any of these servers accepts new requests, and if not, for which reason.
     #[must_use]
-    pub fn service_acceptance(&self, service: &name::ServiceName) -> server_notices::Acceptance {
-        let (view, now_ms) = (self.view(), self.clock.now_ms());
+    pub fn earliest_acceptance(
+        &self,
+        servers: &[Arc<server::BackendServer>],
+    ) -> server_notices::Acceptance {
+        let now_ms = self.clock.now_ms();
         let notices = self.notices();
-        let servers = view.ready_servers_of(service).iter();
-        server_notices::earliest(servers.map(|server| notices.acceptance(server, now_ms)))
+        let acceptances = servers.iter().map(|server| notices.acceptance(server, now_ms));
+        server_notices::earliest(acceptances)
     }
 
     /// Counts a request of a service towards its retry budget.
