Test two rules about crashes that no test noticed

Taken out one at a time: that a crash stays explained after its part was blocked (without it each host reports the block again after each later crash), and that a part which a server has answered since a crash is innocent of it. Each has a test in crash_causes.rs that fails without it.

--- a/crates/policy/tests/crash_causes.rs
+++ b/crates/policy/tests/crash_causes.rs
@@ -231,3 +231,32 @@
     let steps = advance(&mut causes, now_ms + crash_causes::HOLD_MS);
     assert!(matches!(&*steps, [Step::Block { part: GUILTY, .. }]), "{steps:?}");
 }
+
+/// Each report that a part is blocked is written to the store.
+#[rstest]
+fn part_that_is_blocked_is_not_reported_again_after_later_crashes() {
+    let mut causes = causes_after(6);
+    let mut now_ms = 6 * INTERVAL_MS;
+    advance(&mut causes, now_ms);
+    now_ms += crash_causes::HOLD_MS;
+    assert_eq!(advance(&mut causes, now_ms).len(), 1);
+    for number in 7..12 {
+        record_crash(&mut causes, number);
+        advance(&mut causes, now_ms);
+        now_ms += crash_causes::HOLD_MS;
+        assert_eq!(advance(&mut causes, now_ms), [], "after crash {number}");
+    }
+}
+
+/// A part that was in flight at all crashes is innocent of them if a server has answered it since.
+#[rstest]
+fn part_that_a_server_has_answered_since_the_crashes_is_not_rejected() {
+    let mut causes = CrashCauses::new();
+    for number in 1..7 {
+        record_crash(&mut causes, number);
+    }
+    let now_ms = 10 * INTERVAL_MS;
+    causes.record_survival(&[FIRST, GUILTY], now_ms);
+    advance(&mut causes, now_ms);
+    assert_eq!(causes.verdict(&[FIRST, GUILTY, 9]), Verdict::Allowed);
+}
