Count only requests since the pause in the slow start of a server

Found while the change was read again: the limit of a server that comes back counted the streams that had been open before its pause, so that such a server got nothing until they had ended, which may take longer than the pause by far. The new test with six open streams fails without this. Requests from before the pause are now left out of the count; they are taken to end first.

--- a/crates/daemon/tests/paused_servers.rs
+++ b/crates/daemon/tests/paused_servers.rs
@@ -444,3 +444,29 @@
     scenario.probe().await;
     assert_eq!(scenario.paused.connections_opened(), before, "{}", scenario.fleet.log(0));
 }
+
+/// Streams that were open before the pause may last much longer than it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn server_with_open_streams_receives_requests_after_its_pause() {
+    const STREAMS: usize = 6;
+    let slow = Behaviour::SlowStream { last: LAST_EVENT, pause: time::Duration::from_millis(400) };
+    let server = backend::Backend::start("s-1", slow).await;
+    let fleet = GatewayFleet::start(1, &[("engines", &server)]).await;
+    let mut streams = tokio::task::JoinSet::new();
+    for number in 0..STREAMS {
+        let id = format!("open-{number}");
+        streams.spawn(fleet.prepare_request(0, "POST", "/chat/x", &id).send());
+    }
+    let are_open = async || server.arrivals().len() == STREAMS;
+    fleet.wait_for("the streams to begin", are_open).await;
+    server.enqueue([Behaviour::ask_for_pause("0.3"), Behaviour::Stream { last: LAST_EVENT }]);
+    assert_eq!(fleet.send(0, "POST", "/chat/x", &[]).await.map(|it| it.status), Some(503));
+    tokio::time::sleep(PROMPT).await;
+    let response = fleet.send(0, "POST", "/chat/x", &[]).await.expect("a response");
+    assert_eq!(response.status, 200, "{}", fleet.log(0));
+    assert_eq!(streams.len(), STREAMS, "the streams are still open");
+    for stream in streams.join_all().await {
+        assert!(stream.is_some_and(|it| it.is_complete), "{}", fleet.log(0));
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -413,7 +413,8 @@
         let request = self.rollout_request();
         let (mut servers, mut side) = self.servers_on_side(request, now_ms);
         self.state.retain_accepting(&mut servers);
-        if servers.is_empty() && side == Some(canary::Side::Target) && !request.has_session {
+        if servers.is_empty() && side == Some(canary::Side::Target) {
+            // A session stays on its side all the same.
             let on_baseline = canary::Request { has_failed_on_target: true, ..request };
             (servers, side) = self.servers_on_side(on_baseline, now_ms);
             self.state.retain_accepting(&mut servers);
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -102,13 +102,21 @@
     failures: u32,
     ejections: u32,
     ejected_until_ms: u64,
-    /// Maximum number of this host's concurrent requests since the server asked for a pause; `None`
-    /// once it has accepted many.
-    slow_start: Option<u32>,
+    /// Limit since the server asked for a pause; `None` once it has accepted many requests.
+    slow_start: Option<SlowStart>,
     /// When this host last sent each prompt part to the server.
     part_sent_ms: collections::BTreeMap<u64, u64>,
 }
 
+/// Limits a host's requests at a server that comes back from a pause.
+#[derive(Debug, Clone, Copy)]
+struct SlowStart {
+    /// Maximum number of concurrent requests, without the earlier ones.
+    limit: u32,
+    /// Requests in flight from before the pause, which are taken to end before the later ones.
+    earlier: u32,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Report {
     running: u32,
@@ -179,6 +187,9 @@
     pub fn record_end(&mut self, id: &name::ServerId, outcome: Outcome, now_ms: u64) -> bool {
         let load = self.loads.entry(id.clone()).or_default();
         load.in_flight = load.in_flight.saturating_sub(1);
+        if let Some(slow_start) = &mut load.slow_start {
+            slow_start.earlier = slow_start.earlier.saturating_sub(1);
+        }
         match outcome {
             Outcome::Fine | Outcome::Declined => {
                 load.failures = 0;
@@ -204,14 +215,15 @@
     /// Records that a pause of a server begins. After it, the host's load comes back gradually, as the
     /// server accepts requests.
     pub fn record_pause(&mut self, id: &name::ServerId) {
-        self.loads.entry(id.clone()).or_default().slow_start = Some(SLOW_START_REQUESTS);
+        let load = self.loads.entry(id.clone()).or_default();
+        load.slow_start = Some(SlowStart { limit: SLOW_START_REQUESTS, earlier: load.in_flight });
     }
 
     /// Records that a server has accepted a request.
     pub fn record_acceptance(&mut self, id: &name::ServerId) {
         if let Some(load) = self.loads.get_mut(id) {
-            let raised = load.slow_start.map(|limit| limit + 1);
-            load.slow_start = raised.filter(|limit| *limit < SLOW_START_END_REQUESTS);
+            let raised = load.slow_start.map(|it| SlowStart { limit: it.limit + 1, ..it });
+            load.slow_start = raised.filter(|it| it.limit < SLOW_START_END_REQUESTS);
         }
     }
 
@@ -238,8 +250,10 @@
 
     /// Whether this host may send another request to a server now.
     fn has_room(&self, id: &name::ServerId, in_flight_max: u32) -> bool {
+        let in_flight = self.in_flight(id);
         let slow_start = self.loads.get(id).and_then(|load| load.slow_start);
-        self.in_flight(id) < slow_start.map_or(in_flight_max, |limit| limit.min(in_flight_max))
+        in_flight < in_flight_max
+            && slow_start.is_none_or(|it| in_flight.saturating_sub(it.earlier) < it.limit)
     }
 
     /// Expected numbers of running and of waiting requests at a server.
