Test a pause that is asked for in the answer to a cancelled request

The host does not hear it, since the connection of a request that its caller has left is closed; the next request is told the same, so that one more reaches the server.

--- a/crates/daemon/tests/paused_servers.rs
+++ b/crates/daemon/tests/paused_servers.rs
@@ -470,3 +470,33 @@
         assert!(stream.is_some_and(|it| it.is_complete), "{}", fleet.log(0));
     }
 }
+
+/// The host closes the connection of a request that its caller has left, so it does not hear the
+/// answer; the server says the same to the next request.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn pause_that_was_asked_for_in_the_answer_to_a_cancelled_request_is_kept() {
+    let scenario = Scenario::start("/read/x").await;
+    let response = Behaviour::AskForPause(backend::PauseResponse {
+        retry_after: PAUSE.to_owned(),
+        delay: PROMPT / 2,
+        form: PauseForm::Declined,
+    });
+    for server in [&scenario.paused, &scenario.other] {
+        server.enqueue([response.clone()]);
+    }
+    let left = scenario.fleet.prepare_request(0, "GET", "/read/x", "left").send();
+    assert!(tokio::time::timeout(PROMPT / 4, left).await.is_err(), "the caller leaves");
+    for server in [&scenario.paused, &scenario.other] {
+        server.pause(time::Duration::from_secs(2));
+    }
+    tokio::time::sleep(PROMPT).await;
+    let until = time::Instant::now() + RETURN_TIME / 2;
+    while time::Instant::now() < until {
+        scenario.send().await;
+    }
+    for server in [&scenario.paused, &scenario.other] {
+        let sends = most_sends_within_a_pause(server);
+        assert!(sends <= SENDS_MAX, "{sends} requests within a pause\n{}", scenario.fleet.log(0));
+    }
+}
