Decode, log and count the limits that servers name

Callers saw requests rejected or late at a server in need that got ten times the load it had asked for (LIMIT). No log line or metric showed whether a host had heard of a limit. A change of a server's limit is logged now with its old and its new value; toucanwall_limit_notices and toucanwall_sends_to_limited_servers count responses that name one and requests sent meanwhile. No decision changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::exchange;
 use crate::execution;
 use crate::leaving;
+use crate::limits;
 use crate::pauses;
 use crate::pool;
 use crate::response_buffer;
@@ -207,6 +208,7 @@
             in_flight.record_outcome(placement::Outcome::Cancelled);
             return Err((error, not_written));
         }
+        limits::record_send(&exchange.state, &in_flight.server);
         let mut request = exchange.request_to(&in_flight.server).map_err(|error| {
             let error = AttemptError::Broken(error.to_string());
             (error, not_written)
@@ -268,6 +270,12 @@
             &exchange.head.attempt_id,
             head.pause,
         );
+        limits::record_notice(
+            &exchange.state,
+            &in_flight.server,
+            &exchange.head.attempt_id,
+            head.limit,
+        );
         return validate(OpenResponse { head, parts, body, connection, in_flight });
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod head_limit;
 mod ingress;
 mod leaving;
+mod limits;
 mod logging;
 mod metrics;
 mod pauses;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     attempts_failed: CounterFamily,
     leaving_notices: CounterFamily,
     pause_requests: CounterFamily,
+    limit_notices: CounterFamily,
+    limited_sends: ServiceCounterFamily,
     retries: ServiceCounterFamily,
     retry_window: ServiceGaugeFamily,
     connections: CounterFamily,
@@ -64,6 +66,12 @@
         let pause_requests = CounterFamily::default();
         let help = "responses that ask for a pause of their server";
         registry.register("pause_requests", help, pause_requests.clone());
+        let limit_notices = CounterFamily::default();
+        let help = "responses that name a limit of their server";
+        registry.register("limit_notices", help, limit_notices.clone());
+        let limited_sends = ServiceCounterFamily::default();
+        let help = "requests sent to servers while they named a limit";
+        registry.register("sends_to_limited_servers", help, limited_sends.clone());
         let retries = ServiceCounterFamily::default();
         let help = "retries by whether the budget of their service allowed them";
         registry.register("retries", help, retries.clone());
@@ -100,6 +108,8 @@
             attempts_failed,
             leaving_notices,
             pause_requests,
+            limit_notices,
+            limited_sends,
             retries,
             retry_window,
             connections,
@@ -176,6 +186,21 @@
         self.pause_requests.get_or_create(&vec![("request", pause)]).inc();
     }
 
+    /// Records a response that may name a limit of its server.
+    pub fn record_limit_notice(&self, notice: response::LimitNotice) {
+        let notice = match notice {
+            response::LimitNotice::Absent => return,
+            response::LimitNotice::PerThousandSeconds(_) => "limit",
+            response::LimitNotice::Malformed => "malformed",
+        };
+        self.limit_notices.get_or_create(&vec![("notice", notice)]).inc();
+    }
+
+    /// Records that a request was sent to a server of a service that names a limit.
+    pub fn record_limited_send(&self, service: &name::ServiceName) {
+        self.limited_sends.get_or_create(&vec![service_label(service)]).inc();
+    }
+
     /// Records whether a retry was allowed, and how much of the budget is used.
     pub fn record_retry(
         &self,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,6 +40,8 @@
     pub placement: Mutex<placement::Placement>,
     /// What the backend servers have said of themselves, shared with the control thread.
     notices: Arc<Mutex<server_notices::ServerNotices>>,
+    /// Limits that servers name, in requests in a thousand seconds.
+    named_limits: Mutex<collections::BTreeMap<name::ServerId, u64>>,
     /// Roll-outs in progress.
     pub rollouts: Arc<rollouts::Rollouts>,
     /// Requests under which servers ended.
@@ -96,6 +98,7 @@
             buffer_budget: response_buffer::BufferBudget::default(),
             placement: Mutex::new(placement::Placement::new()),
             notices,
+            named_limits: Mutex::new(collections::BTreeMap::new()),
             rollouts,
             crashes,
             metrics,
@@ -123,6 +126,11 @@
         self.notices.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the limits that servers name.
+    pub fn named_limits(&self) -> MutexGuard<'_, collections::BTreeMap<name::ServerId, u64>> {
+        self.named_limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The servers of a service that accept new requests now or after a pause.
     #[must_use]
     pub fn staying_servers(&self, service: &name::ServiceName) -> Vec<Arc<server::BackendServer>> {
