Add a failing test for servers that name a limit

Real processes, a server that names a limit beside one that does not, callers at each host. Requests are counted over sliding windows of 4 s from hosts that the server had told half a second before.

--- /dev/null
+++ b/crates/daemon/tests/limited_servers.rs
@@ -0,0 +1,145 @@
+//! Servers that name a limit for the requests that they take from all hosts together.
+
+mod gateway_fleet;
+
+use std::collections;
+use std::sync::Arc;
+use std::sync::atomic;
+use std::time;
+
+use gateway_fleet::GatewayFleet;
+use rstest::rstest;
+use toucanwall_platform_standin::backend;
+use toucanwall_platform_standin::backend::Behaviour;
+
+/// Window in which requests to a limited server are counted.
+const WINDOW: time::Duration = time::Duration::from_secs(4);
+/// Time after a response that names a limit from which requests of its host are counted.
+const NOTICE_TIME: time::Duration = time::Duration::from_millis(500);
+/// Time for which callers send requests while a server names a limit.
+const LIMITED_TIME: time::Duration = time::Duration::from_secs(10);
+/// Pause of a caller between two requests.
+const CALLER_PAUSE: time::Duration = time::Duration::from_millis(20);
+const LAST_EVENT: u64 = 6;
+
+/// Number of requests that a server with this limit may get within [`WINDOW`]: one and a half times the
+/// limit, and five more.
+fn allowed_requests(limit: &str) -> f64 {
+    let per_s: f64 = limit.parse().expect("a number");
+    1.5 * WINDOW.as_secs_f64() * per_s + 5.0
+}
+
+/// The host that a request was sent to, by the beginning of its id.
+fn host_of(attempt_id: &str) -> &str {
+    attempt_id.split('-').next().unwrap_or_default()
+}
+
+/// The largest number of requests that reached a server within a window from hosts that it had told of
+/// a limit half a second before.
+fn most_requests_from_told_hosts(server: &backend::Backend) -> u32 {
+    let mut told = collections::BTreeMap::new();
+    for named in server.named_limits() {
+        told.entry(host_of(&named.attempt_id).to_owned()).or_insert(named.at);
+    }
+    let arrivals = server.arrivals();
+    let counted = arrivals.iter().filter(|arrival| {
+        told.get(host_of(&arrival.attempt_id)).is_some_and(|at| arrival.at > *at + NOTICE_TIME)
+    });
+    let times: Vec<_> = counted.map(|arrival| arrival.at).collect();
+    let within = |first: &time::Instant| {
+        times.iter().filter(|at| *at >= first && **at < *first + WINDOW).count()
+    };
+    let most = times.iter().map(within).max().unwrap_or(0);
+    u32::try_from(most).expect("a small number")
+}
+
+/// Sends requests to a host one after the other until `is_finished`.
+async fn run_caller(
+    fleet: Arc<GatewayFleet>,
+    host: usize,
+    caller: usize,
+    path: &'static str,
+    is_finished: Arc<atomic::AtomicBool>,
+) -> usize {
+    let mut served = 0;
+    for number in 0.. {
+        if is_finished.load(atomic::Ordering::SeqCst) {
+            break;
+        }
+        let id = format!("{host}-{caller}-{number}");
+        let method = if path.starts_with("/read/") { "GET" } else { "POST" };
+        let response = fleet.prepare_request(host, method, path, &id).send().await;
+        served += usize::from(response.is_some_and(|response| response.status == 200));
+        tokio::time::sleep(CALLER_PAUSE).await;
+    }
+    served
+}
+
+/// Hosts with callers, and two servers, one of which names a limit.
+struct Scenario {
+    fleet: Arc<GatewayFleet>,
+    limited: backend::Backend,
+    callers: tokio::task::JoinSet<usize>,
+    is_finished: Arc<atomic::AtomicBool>,
+}
+
+impl Scenario {
+    async fn start(path: &'static str, hosts: usize, callers_per_host: usize) -> Self {
+        let is_stream = path.starts_with("/chat/");
+        let behaviour =
+            if is_stream { Behaviour::Stream { last: LAST_EVENT } } else { Behaviour::Respond };
+        let service = if is_stream { "engines" } else { "desk" };
+        let limited = backend::Backend::start("s-1", behaviour.clone()).await;
+        let other = backend::Backend::start("s-2", behaviour).await;
+        let fleet = GatewayFleet::start(hosts, &[(service, &limited), (service, &other)]).await;
+        let fleet = Arc::new(fleet);
+        let is_finished = Arc::new(atomic::AtomicBool::new(false));
+        let mut callers = tokio::task::JoinSet::new();
+        for caller in 0..hosts * callers_per_host {
+            let (fleet, is_finished) = (Arc::clone(&fleet), Arc::clone(&is_finished));
+            callers.spawn(run_caller(fleet, caller % hosts, caller, path, is_finished));
+        }
+        Self { fleet, limited, callers, is_finished }
+    }
+
+    /// Lets all callers finish; returns how many requests were served.
+    async fn finish(&mut self) -> usize {
+        self.is_finished.store(true, atomic::Ordering::SeqCst);
+        let mut served = 0;
+        while let Some(caller) = self.callers.join_next().await {
+            served += caller.expect("a caller does not panic");
+        }
+        served
+    }
+
+    fn assert_limit_is_kept(&self, limit: &str) {
+        let most = most_requests_from_told_hosts(&self.limited);
+        let allowed = allowed_requests(limit);
+        println!("at most {most} requests in {WINDOW:?} at {limit} a second, {allowed} allowed");
+        assert!(
+            f64::from(most) <= allowed,
+            "{most} requests in {WINDOW:?}, {allowed} allowed\n{}",
+            self.fleet.log(0)
+        );
+    }
+}
+
+#[rstest]
+#[case::safe("/read/x", 2, "2.0")]
+#[case::unsafe_on_new_connections("/book/x", 2, "2.0")]
+#[case::stream("/chat/x", 2, "2.0")]
+#[case::many_hosts("/read/x", 6, "2.2")]
+#[case::low("/read/x", 6, "0.5")]
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_together_keep_the_limit_that_a_server_names(
+    #[case] path: &'static str,
+    #[case] hosts: usize,
+    #[case] limit: &str,
+) {
+    let mut scenario = Scenario::start(path, hosts, 3).await;
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    scenario.limited.name_limit(Some(limit));
+    tokio::time::sleep(LIMITED_TIME).await;
+    scenario.finish().await;
+    scenario.assert_limit_is_kept(limit);
+}
