Keep the limits that servers name over all hosts together

Callers' requests overran servers in need (LIMIT): 222 to 1,542 requests in 4 s where 8 to 18 are allowed. Nothing read Server-Limit.

Two issuers for each server, by rendezvous hashing over the registered hosts, issue permits at half of the limit each and save up no more than one; a host sends to the server only with a permit, which it asks for in a datagram and which expires a second after that. One function decides before each send, on every path. A limit ends with a response without one to a request that was sent after the latest response with it; hosts tell the issuers and a few others of its beginning and its end.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 use toucanwall_policy::canary;
 use toucanwall_policy::crash_causes;
 use toucanwall_policy::placement;
+use toucanwall_policy::server_limits;
 use toucanwall_policy::server_notices;
 use toucanwall_routing::server;
 
@@ -69,6 +70,10 @@
     /// The server has asked for a pause since it was chosen; the request was not sent.
     #[error("server has asked for a pause")]
     Paused,
+    /// The server has named a limit since it was chosen, or the permit has expired; the request was not
+    /// sent.
+    #[error("server has reached its limit")]
+    Limited,
     /// A part of the prompt has been found to end servers since the server was chosen.
     #[error("a part of the prompt ends servers")]
     Blocked,
@@ -128,7 +133,12 @@
     pub fn is_server_failure(&self) -> bool {
         !matches!(
             self,
-            Self::Leaving | Self::Paused | Self::Blocked | Self::Unreachable(_) | Self::Declined(_)
+            Self::Leaving
+                | Self::Paused
+                | Self::Limited
+                | Self::Blocked
+                | Self::Unreachable(_)
+                | Self::Declined(_)
         )
     }
 }
@@ -179,6 +189,7 @@
     assignment: exchange::Assignment,
     timeout: time::Duration,
 ) -> Result<OpenResponse, (AttemptError, Option<execution::NotRunProof>)> {
+    let permit = assignment.permit;
     let mut in_flight = InFlight::start(exchange, assignment);
     let not_written = Some(execution::NotRunProof::nothing_written());
     let reuse_policy = if exchange.allows_retry() {
@@ -204,11 +215,10 @@
             }
         };
         exchange.state.metrics.record_connection(connection.is_new());
-        if let Err(error) = check_still_allowed(exchange, &in_flight.server) {
+        if let Err(error) = check_still_allowed(exchange, &in_flight.server, permit) {
             in_flight.record_outcome(placement::Outcome::Cancelled);
             return Err((error, not_written));
         }
-        limits::record_send(&exchange.state, &in_flight.server);
         let mut request = exchange.request_to(&in_flight.server).map_err(|error| {
             let error = AttemptError::Broken(error.to_string());
             (error, not_written)
@@ -270,32 +280,39 @@
             &exchange.head.attempt_id,
             head.pause,
         );
-        limits::record_notice(
-            &exchange.state,
-            &in_flight.server,
-            &exchange.head.attempt_id,
-            head.limit,
-        );
+        limits::record_response(&exchange.state, &in_flight, &exchange.head.attempt_id, &head);
         return validate(OpenResponse { head, parts, body, connection, in_flight });
     }
 }
 
-/// Checks what the host may have learned while the connection was being opened: that the server leaves
-/// or has asked for a pause, or that a part of the prompt ends servers.
+/// Checks what the host may have learned while the connection was being opened: that the server leaves,
+/// has asked for a pause or names a limit, or that a part of the prompt ends servers.
 fn check_still_allowed(
     exchange: &exchange::Exchange,
     server: &server::BackendServer,
+    permit: Option<server_limits::Permit>,
 ) -> Result<(), AttemptError> {
     match exchange.state.current_acceptance(server) {
         server_notices::Acceptance::Accepts => {}
         server_notices::Acceptance::Paused { .. } => return Err(AttemptError::Paused),
         server_notices::Acceptance::Leaving => return Err(AttemptError::Leaving),
     }
-    match exchange.crash_verdict(exchange.state.clock.now_ms()) {
-        crashes::Verdict::PartBlocked | crashes::Verdict::Held { .. } => Err(AttemptError::Blocked),
+    let now_ms = exchange.state.clock.now_ms();
+    match exchange.crash_verdict(now_ms) {
+        crashes::Verdict::PartBlocked | crashes::Verdict::Held { .. } => {
+            return Err(AttemptError::Blocked);
+        }
         crashes::Verdict::RequestBlocked { .. }
         | crashes::Verdict::Suspected
-        | crashes::Verdict::Allowed => Ok(()),
+        | crashes::Verdict::Allowed => {}
+    }
+    match exchange.state.limits.take_permit(server, permit, now_ms) {
+        limits::Permission::Unlimited => Ok(()),
+        limits::Permission::Permitted(_) => {
+            exchange.state.metrics.record_limited_send(&server.service);
+            Ok(())
+        }
+        limits::Permission::Denied => Err(AttemptError::Limited),
     }
 }
 
@@ -338,7 +355,7 @@
 
 impl InFlight {
     fn start(exchange: &exchange::Exchange, assignment: exchange::Assignment) -> Self {
-        let exchange::Assignment { server, side, units } = assignment;
+        let exchange::Assignment { server, side, units, .. } = assignment;
         let state = Arc::clone(&exchange.state);
         let sent_at_ms = state.clock.now_ms();
         let request = exchange.placement_request();
@@ -370,6 +387,12 @@
         }
     }
 
+    /// When the request was sent at the earliest, in milliseconds.
+    #[must_use]
+    pub fn sent_at_ms(&self) -> u64 {
+        self.sent_at_ms
+    }
+
     /// Whether the end of the connection is the end of the response.
     #[must_use]
     pub fn ends_with_connection(&self) -> bool {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -28,6 +28,7 @@
 use crate::crashes;
 use crate::datagrams;
 use crate::ingress;
+use crate::limits;
 use crate::metrics;
 use crate::peers;
 use crate::relay;
@@ -65,6 +66,8 @@
     pub views: tokio::sync::watch::Sender<Arc<view::View>>,
     /// What the backend servers have said of themselves, shared with the traffic thread.
     pub notices: Arc<Mutex<server_notices::ServerNotices>>,
+    /// Limits that servers name, shared with the traffic thread.
+    pub limits: Arc<limits::Limits>,
     /// Requests under which servers ended, shared with the traffic thread.
     pub crashes: Arc<crashes::Crashes>,
     /// Roll-outs known to this host, shared with the traffic thread.
@@ -155,6 +158,8 @@
             inputs.settings.bounds.contact_ms,
             datagram_socket,
             Arc::clone(&inputs.rollouts),
+            Arc::clone(&inputs.limits),
+            inputs.clock,
         );
         Self {
             inputs,
@@ -179,7 +184,9 @@
         ping_rounds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut ticks = tokio::time::interval(time::Duration::from_millis(TICK_INTERVAL_MS));
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let limits = Arc::clone(&self.inputs.limits);
         loop {
+            let limits_due = self.next_limits_due();
             tokio::select! {
                 Some(event) = event_receiver.recv() => {
                     contain_panic("store event", || self.handle_event(event));
@@ -191,6 +198,8 @@
                     self.publish();
                 }
                 () = self.peers.step() => {}
+                () = limits.has_messages() => {}
+                () = tokio::time::sleep_until(limits_due) => {}
                 _ = ping_rounds.tick() => {
                     self.peers.start_round(self.inputs.clock.now_ms());
                     if self.update_silent_hosts() {
@@ -203,9 +212,17 @@
                     None => return,
                 },
             }
+            self.peers.send_limit_messages();
         }
     }
 
+    /// When messages about limits are due, or in a minute at the latest.
+    fn next_limits_due(&self) -> tokio::time::Instant {
+        let now_ms = self.inputs.clock.now_ms();
+        let due_ms = self.inputs.limits.next_due_ms(now_ms);
+        self.inputs.clock.instant_at(due_ms.unwrap_or(now_ms + EXPIRY_INTERVAL_MS))
+    }
+
     /// Starts the change feed, which receives store events directly or through a relay.
     fn start_feed(&self, events: &tokio::sync::mpsc::UnboundedSender<store_event::Event>) {
         let feed = change_feed::ChangeFeed::new(change_feed::Inputs {
@@ -525,6 +542,11 @@
         let previous = Arc::clone(&self.inputs.views.borrow());
         view_log::log_changes(&previous, &view);
         self.inputs.metrics.set_hosts_listed(view.callable_hosts().count());
+        self.inputs.limits.set_hosts(
+            view.serving_hosts().map(|host| host.name.clone()),
+            !view.silent_hosts.is_empty(),
+            self.inputs.clock.now_ms(),
+        );
         let hosts = view.serving_host_count();
         self.inputs.rollouts.update(&view.rollouts, hosts, self.inputs.clock.now());
         self.inputs.views.send_replace(Arc::new(view));
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -1,5 +1,5 @@
-//! Datagrams between hosts: pings, by which they notice that one of them is lost, and what they see
-//! of roll-outs.
+//! Datagrams between hosts: pings, by which they notice that one of them is lost, what they see of
+//! roll-outs, and how they keep the limits of servers together.
 
 use std::io;
 use std::net;
@@ -8,6 +8,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use toucanwall_policy::server_limits;
 use toucanwall_routing::host;
 use toucanwall_routing::name;
 
@@ -45,6 +46,13 @@
         /// One report for each roll-out.
         reports: Vec<rollouts::Report>,
     },
+    /// Is about the limit of a server.
+    Limit {
+        /// The host that sends it.
+        host: name::HostName,
+        /// What it says.
+        message: server_limits::Message,
+    },
 }
 
 /// A datagram that the control thread acts on.
@@ -62,6 +70,13 @@
         /// One report for each roll-out.
         reports: Vec<rollouts::Report>,
     },
+    /// A host sends a message about the limit of a server.
+    Limit {
+        /// The host.
+        host: name::HostName,
+        /// The message.
+        message: server_limits::Message,
+    },
 }
 
 /// Sends datagrams to other hosts and answers their pings.
@@ -107,6 +122,18 @@
         }
     }
 
+    /// Sends a message about the limit of a server to a host. One that is lost is made good by later
+    /// ones.
+    pub fn send_limit(
+        &self,
+        own_name: &name::HostName,
+        message: server_limits::Message,
+        host: &host::HostEntry,
+    ) {
+        let datagram = Datagram::Limit { host: own_name.clone(), message };
+        self.send(&datagram, host.peer_address);
+    }
+
     /// Answers pings until another datagram arrives, and returns that.
     pub async fn receive(&self) -> Received {
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
@@ -124,6 +151,7 @@
                 Ok(Datagram::Rollouts { host, reports }) => {
                     return Received::Rollouts { host, reports };
                 }
+                Ok(Datagram::Limit { host, message }) => return Received::Limit { host, message },
                 Ok(Datagram::Ping { run_id }) if run_id == self.own_run_id => {
                     self.send(&Datagram::Answer { run_id }, from);
                 }
--- a/crates/gateway/src/dispatch_parameters.rs
+++ b/crates/gateway/src/dispatch_parameters.rs
@@ -67,9 +67,10 @@
         };
         // The second run may go to any server, including the one that made the first.
         let no_exclusions = collections::BTreeSet::new();
-        match self.choose_server(self.state.clock.now_ms(), request, &no_exclusions) {
-            (placement::Choice::Server { units, .. }, _) => Some(units),
-            _ => None,
+        let now_ms = self.state.clock.now_ms();
+        match self.choose_server(now_ms, request, &no_exclusions).choice {
+            placement::Choice::Server { units, .. } => Some(units),
+            placement::Choice::Full | placement::Choice::NoServer => None,
         }
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::sync::Arc;
+use std::time;
 
 use rand::RngExt as _;
 use toucanwall_platform::request;
@@ -11,6 +12,7 @@
 use toucanwall_policy::canary;
 use toucanwall_policy::crash_causes;
 use toucanwall_policy::placement;
+use toucanwall_policy::server_limits;
 use toucanwall_policy::server_notices;
 use toucanwall_routing::configuration;
 use toucanwall_routing::name;
@@ -20,6 +22,7 @@
 use crate::crashes;
 use crate::execution;
 use crate::ingress;
+use crate::limits;
 use crate::pool;
 use crate::sse;
 use crate::state;
@@ -74,6 +77,10 @@
     pub attribution: attribution::Attribution,
     /// Servers to which the request is not sent again.
     pub excluded: collections::BTreeSet<name::ServerId>,
+    /// Place among the requests that wait for permits.
+    pub place: limits::Place,
+    /// Until when the request may wait for a permit, in milliseconds, once it waits.
+    pub waits_until_ms: Option<u64>,
 }
 
 /// Final response to a request.
@@ -98,10 +105,31 @@
     pub side: Option<canary::Side>,
     /// Work before the first byte of the response, in prompt tokens of the smallest model.
     pub units: u64,
+    /// Permit for the request, if the server names a limit.
+    pub permit: Option<server_limits::Permit>,
+}
+
+/// The result of choosing a server among those on a side of a roll-out.
+#[derive(Debug)]
+pub struct Selection {
+    /// The choice.
+    pub choice: placement::Choice,
+    /// Side of the roll-out that was chosen from.
+    pub side: Option<canary::Side>,
+    /// Server that would have been chosen if there were a permit for it.
+    pub without_permit: Option<name::ServerId>,
 }
 
 /// Decision on whether to make another attempt.
 enum NextStep {
+    Send(Assignment, execution::Execution<execution::Sent>),
+    /// Wait for a permit of a server and decide again.
+    Wait(limits::Waiting, execution::Status),
+    End(Response),
+}
+
+/// What follows once there is nothing to wait for.
+enum SettledStep {
     Send(Assignment, execution::Execution<execution::Sent>),
     End(Response),
 }
@@ -128,9 +156,9 @@
         // The latest 5xx response of a server, returned if no later attempt succeeds.
         let mut fallback: Option<hyper::Response<bytes::Bytes>> = None;
         loop {
-            let (assignment, sent) = match self.next_step(execution) {
-                NextStep::Send(assignment, sent) => (assignment, sent),
-                NextStep::End(response) => {
+            let (assignment, sent) = match self.next_settled_step(execution).await {
+                SettledStep::Send(assignment, sent) => (assignment, sent),
+                SettledStep::End(response) => {
                     self.settle_failure();
                     return fallback.map_or(response, Response::Complete);
                 }
@@ -185,12 +213,12 @@
         }
         let mut execution = execution::Status::interrupted();
         loop {
-            let (assignment, sent) = match self.next_step(execution) {
-                NextStep::Send(assignment, sent) => (assignment, sent),
-                NextStep::End(Response::Refused(_, reason) | Response::Failed(_, reason)) => {
+            let (assignment, sent) = match self.next_settled_step(execution).await {
+                SettledStep::Send(assignment, sent) => (assignment, sent),
+                SettledStep::End(Response::Refused(_, reason) | Response::Failed(_, reason)) => {
                     return Err(reason);
                 }
-                NextStep::End(Response::Complete(_) | Response::Stream(_)) => {
+                SettledStep::End(Response::Complete(_) | Response::Stream(_)) => {
                     return Err("request ended with a complete response");
                 }
             };
@@ -264,13 +292,39 @@
     }
 
     /// Does not count an attempt whose request was not sent because the server had begun to leave or
-    /// to pause.
+    /// to pause, or had reached its limit.
     fn uncount_unsent(&mut self, error: &attempt::AttemptError) {
-        if matches!(error, attempt::AttemptError::Leaving | attempt::AttemptError::Paused) {
+        if matches!(
+            error,
+            attempt::AttemptError::Leaving
+                | attempt::AttemptError::Paused
+                | attempt::AttemptError::Limited
+        ) {
             self.attempts = self.attempts.saturating_sub(1);
         }
     }
 
+    /// Decides whether to make another attempt, and on which server, and waits for a permit if that is
+    /// worthwhile.
+    async fn next_settled_step(&mut self, mut execution: execution::Status) -> SettledStep {
+        loop {
+            match self.next_step(execution) {
+                NextStep::Send(assignment, sent) => {
+                    self.waits_until_ms = None;
+                    return SettledStep::Send(assignment, sent);
+                }
+                NextStep::End(response) => return SettledStep::End(response),
+                NextStep::Wait(waiting, unsent) => {
+                    execution = unsent;
+                    let now_ms = self.state.clock.now_ms();
+                    let until_ms = *self.waits_until_ms.get_or_insert(now_ms + limits::MAX_WAIT_MS);
+                    let timeout = time::Duration::from_millis(until_ms.saturating_sub(now_ms));
+                    waiting.wait(timeout).await;
+                }
+            }
+        }
+    }
+
     /// Decides whether to make another attempt, and on which server.
     fn next_step(&self, execution: execution::Status) -> NextStep {
         let now_ms = self.state.clock.now_ms();
@@ -293,27 +347,69 @@
         if self.attempts >= self.route.max_attempts {
             return Self::give_up(execution, bad_gateway, Some(RETRY_SOON_MS), "attempts used up");
         }
+        let selection = self.choose_server(now_ms, self.placement_request(), &self.excluded);
+        if let (Some(id), None) = (&selection.without_permit, self.waits_until_ms) {
+            self.state.limits.record_demand(id, self.caller_priority(), now_ms);
+        }
+        let side = selection.side;
+        match (selection.choice, selection.without_permit) {
+            (placement::Choice::Server { server, units }, _) => {
+                let chosen = Assignment { server, side, units, permit: None };
+                self.assign(chosen, execution, now_ms)
+            }
+            (placement::Choice::Full | placement::Choice::NoServer, Some(limited)) => {
+                self.wait_for_permit(&limited, execution, now_ms)
+            }
+            (placement::Choice::Full, None) => {
+                Self::give_up(execution, bad_gateway, Some(RETRY_SOON_MS), "all servers full")
+            }
+            (placement::Choice::NoServer, None) => self.give_up_without_server(execution, now_ms),
+        }
+    }
+
+    /// Sends the request to the chosen server if the retry budget, the deadline and the server's limit
+    /// allow it.
+    fn assign(&self, chosen: Assignment, execution: execution::Status, now_ms: u64) -> NextStep {
+        let bad_gateway = hyper::StatusCode::BAD_GATEWAY;
         if self.attempts > 0 && !self.state.try_take_retry(&self.service) {
             let reason = "retry budget used up";
             return Self::give_up(execution, bad_gateway, Some(RETRY_LATER_MS), reason);
         }
-        match self.choose_server(now_ms, self.placement_request(), &self.excluded) {
-            (placement::Choice::Server { server, units }, side) => {
-                let forecast_key = (self.service.clone(), self.model.clone());
-                let expected_ms = self.state.expected_first_byte_ms(&forecast_key, units);
-                match admission::decide(expected_ms, self.deadline_at_ms.saturating_sub(now_ms)) {
-                    admission::Decision::Refuse { retry_after_ms } if self.attempts == 0 => {
-                        let reason = "cannot be answered in time";
-                        Self::give_up(execution, bad_gateway, Some(retry_after_ms), reason)
-                    }
-                    _ => NextStep::Send(Assignment { server, side, units }, execution.send()),
-                }
-            }
-            (placement::Choice::Full, _) => {
-                Self::give_up(execution, bad_gateway, Some(RETRY_SOON_MS), "all servers full")
+        let forecast_key = (self.service.clone(), self.model.clone());
+        let expected_ms = self.state.expected_first_byte_ms(&forecast_key, chosen.units);
+        let decision = admission::decide(expected_ms, self.deadline_at_ms.saturating_sub(now_ms));
+        if let (admission::Decision::Refuse { retry_after_ms }, 0) = (decision, self.attempts) {
+            let reason = "cannot be answered in time";
+            return Self::give_up(execution, bad_gateway, Some(retry_after_ms), reason);
+        }
+        let permit = match self.state.limits.take_permit(&chosen.server, None, now_ms) {
+            limits::Permission::Unlimited => None,
+            limits::Permission::Permitted(permit) => Some(permit),
+            limits::Permission::Denied => {
+                return self.wait_for_permit(&chosen.server.id, execution, now_ms);
             }
-            (placement::Choice::NoServer, _) => self.give_up_without_server(execution, now_ms),
+        };
+        NextStep::Send(Assignment { permit, ..chosen }, execution.send())
+    }
+
+    /// Lets the request wait for a permit of a server, or rejects it if it has waited or so many others
+    /// wait that it has no prospect.
+    fn wait_for_permit(
+        &self,
+        id: &name::ServerId,
+        execution: execution::Status,
+        now_ms: u64,
+    ) -> NextStep {
+        let has_time = self.waits_until_ms.is_none_or(|until_ms| now_ms < until_ms);
+        if let Some(waiting) =
+            has_time.then(|| self.state.limits.begin_wait(id, self.place)).flatten()
+        {
+            return NextStep::Wait(waiting, execution);
         }
+        let random = rand::rng().random();
+        let retry_after_ms = admission::retry_after_limit_ms(self.caller_priority(), random);
+        let reason = "all servers have reached their limit";
+        Self::give_up_until(execution, hyper::StatusCode::BAD_GATEWAY, Some(retry_after_ms), reason)
     }
 
     /// Why the request may not be sent to a server, since servers ended under it or under a part of
@@ -409,24 +505,31 @@
         now_ms: u64,
         placement_request: placement::Request<'_>,
         excluded: &collections::BTreeSet<name::ServerId>,
-    ) -> (placement::Choice, Option<canary::Side>) {
+    ) -> Selection {
         let request = self.rollout_request();
         let (mut servers, mut side) = self.servers_on_side(request, now_ms);
         self.state.retain_accepting(&mut servers);
-        if servers.is_empty() && side == Some(canary::Side::Target) {
+        let mut exhausted = self.state.limits.exhausted(&servers, self.place, now_ms);
+        if side == Some(canary::Side::Target) && exhausted.len() == servers.len() {
             // A session stays on its side all the same.
             let on_baseline = canary::Request { has_failed_on_target: true, ..request };
             (servers, side) = self.servers_on_side(on_baseline, now_ms);
             self.state.retain_accepting(&mut servers);
+            exhausted = self.state.limits.exhausted(&servers, self.place, now_ms);
         }
-        let choice = self.state.placement().choose(
-            placement_request,
-            &servers,
-            excluded,
-            now_ms,
-            &mut rand::rng(),
-        );
-        (choice, side)
+        let placement = self.state.placement();
+        let rng = &mut rand::rng();
+        let choice = placement.choose(placement_request, &servers, excluded, now_ms, rng);
+        let placement::Choice::Server { server, .. } = &choice else {
+            return Selection { choice, side, without_permit: None };
+        };
+        if !exhausted.contains(&server.id) {
+            return Selection { choice, side, without_permit: None };
+        }
+        let without_permit = Some(server.id.clone());
+        exhausted.extend(excluded.iter().cloned());
+        let choice = placement.choose(placement_request, &servers, &exhausted, now_ms, rng);
+        Selection { choice, side, without_permit }
     }
 
     /// The servers that may run a request, some of which may pause. Pauses end, so they do not move a
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -270,6 +270,8 @@
     })?;
     let content_hash = content_hash(organisation.map(|known| &known.name), &parts, &body);
     let part_hashes = part_hashes(service, &head.prompt_part_ids);
+    let priority = organisation.and_then(|organisation| organisation.priority);
+    let priority = priority.unwrap_or(route.priority);
     let router_selects_model =
         head.generation.as_ref().is_some_and(|generation| generation.router_selects_model);
     Ok(exchange::Exchange {
@@ -287,6 +289,8 @@
         attempts: 0,
         attribution: attribution::Attribution::default(),
         excluded: std::collections::BTreeSet::new(),
+        place: state.limits.new_place(priority),
+        waits_until_ms: None,
         head,
         parts,
         body,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -150,6 +150,7 @@
         let reason = match error {
             attempt::AttemptError::Leaving => "leaving",
             attempt::AttemptError::Paused => "paused",
+            attempt::AttemptError::Limited => "limited",
             attempt::AttemptError::Blocked => "blocked",
             attempt::AttemptError::Unreachable(_) => "unreachable",
             attempt::AttemptError::NotWritten => "not_written",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,7 +8,9 @@
 use toucanwall_routing::host;
 use toucanwall_routing::name;
 
+use crate::clock;
 use crate::datagrams;
+use crate::limits;
 use crate::rollouts;
 
 /// The other hosts that this one watches.
@@ -18,6 +20,10 @@
     monitor: host_monitor::HostMonitor,
     socket: datagrams::DatagramSocket,
     rollouts: Arc<rollouts::Rollouts>,
+    limits: Arc<limits::Limits>,
+    clock: clock::Clock,
+    /// The registered hosts.
+    hosts: collections::BTreeMap<name::HostName, Arc<host::HostEntry>>,
     /// What this host last told others of roll-outs.
     sent_reports: Vec<rollouts::Report>,
 }
@@ -31,9 +37,20 @@
         contact_ms: u64,
         socket: datagrams::DatagramSocket,
         rollouts: Arc<rollouts::Rollouts>,
+        limits: Arc<limits::Limits>,
+        clock: clock::Clock,
     ) -> Self {
         let monitor = host_monitor::HostMonitor::new(own_name.clone(), contact_ms);
-        Self { own_name, monitor, socket, rollouts, sent_reports: Vec::new() }
+        Self {
+            own_name,
+            monitor,
+            socket,
+            rollouts,
+            limits,
+            clock,
+            hosts: collections::BTreeMap::new(),
+            sent_reports: Vec::new(),
+        }
     }
 
     /// Interval between two rounds of pings, in milliseconds.
@@ -48,6 +65,7 @@
         hosts: &collections::BTreeMap<name::HostName, Arc<host::HostEntry>>,
     ) {
         self.monitor.set_hosts(hosts);
+        self.hosts.clone_from(hosts);
     }
 
     /// Starts a round of pings.
@@ -66,6 +84,11 @@
                     self.rollouts.merge_total(&host, report);
                 }
             }
+            datagrams::Received::Limit { host, message } => {
+                if self.hosts.contains_key(&host) {
+                    self.limits.receive(&host, &message, self.clock.now_ms());
+                }
+            }
         }
     }
 
@@ -80,6 +103,15 @@
         }
     }
 
+    /// Sends the messages about limits that are due.
+    pub fn send_limit_messages(&self) {
+        for (name, message) in self.limits.take_messages(self.clock.now_ms()) {
+            if let Some(host) = self.hosts.get(&name) {
+                self.socket.send_limit(&self.own_name, message, host);
+            }
+        }
+    }
+
     /// Hosts that do not answer this one. A host that neither another host nor the store answers is
     /// itself cut off, and judges none.
     #[must_use]
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -24,6 +24,7 @@
 use crate::crashes;
 use crate::endpoints;
 use crate::ingress;
+use crate::limits;
 use crate::logging;
 use crate::metrics;
 use crate::rollouts;
@@ -115,6 +116,11 @@
     let rollouts = Arc::new(rollouts::Rollouts::new(settings.bounds));
     let crashes = Arc::new(crashes::Crashes::new());
     let notices = Arc::new(Mutex::new(server_notices::ServerNotices::new(rand::rng().random())));
+    let limits = Arc::new(limits::Limits::new(
+        settings.host.clone(),
+        settings.bounds.contact_ms,
+        rand::rng().random(),
+    ));
     let (views, view) = tokio::sync::watch::channel(Arc::new(view::View::default()));
     let address = settings.peer_address;
     let peer_listener = net::TcpListener::bind(address)
@@ -131,21 +137,23 @@
         clock,
         views,
         notices: Arc::clone(&notices),
+        limits: Arc::clone(&limits),
         rollouts: Arc::clone(&rollouts),
         crashes: Arc::clone(&crashes),
         metrics: Arc::clone(&metrics),
     };
     let commands = control::start(inputs, peer_listener, datagram_socket)
         .map_err(|error| RunError::Start(error.to_string()))?;
-    let state = Arc::new(state::GatewayState::new(
-        Arc::clone(&settings),
+    let state = Arc::new(state::GatewayState::new(state::Inputs {
+        settings: Arc::clone(&settings),
         clock,
         view,
         notices,
+        limits,
         rollouts,
         crashes,
         metrics,
-    ));
+    }));
     let (shutdown, shutdown_receiver) = tokio::sync::watch::channel(false);
     listen(&state, &settings, shutdown_receiver).await?;
     tokio::spawn(run_housekeeping(Arc::clone(&state)));
@@ -260,6 +268,7 @@
         let is_known = |id: &name::ServerId| view.all_servers.contains_key(id);
         state.placement().retain(is_known);
         state.notices().retain_known(is_known, state.clock.now_ms());
+        state.limits.retain_known(is_known, state.clock.now_ms());
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,6 +18,7 @@
 
 use crate::clock;
 use crate::crashes;
+use crate::limits;
 use crate::metrics;
 use crate::pool;
 use crate::response_buffer;
@@ -40,8 +41,8 @@
     pub placement: Mutex<placement::Placement>,
     /// What the backend servers have said of themselves, shared with the control thread.
     notices: Arc<Mutex<server_notices::ServerNotices>>,
-    /// Limits that servers name, in requests in a thousand seconds.
-    named_limits: Mutex<collections::BTreeMap<name::ServerId, u64>>,
+    /// Limits that servers name, shared with the control thread.
+    pub limits: Arc<limits::Limits>,
     /// Roll-outs in progress.
     pub rollouts: Arc<rollouts::Rollouts>,
     /// Requests under which servers ended.
@@ -58,6 +59,27 @@
     forecasts: Mutex<collections::BTreeMap<ForecastKey, forecast::Forecast>>,
 }
 
+/// What the state of a host is made from; the control thread shares most of it.
+#[derive(Debug)]
+pub struct Inputs {
+    /// Settings of the host.
+    pub settings: Arc<settings::Settings>,
+    /// Monotonic clock.
+    pub clock: clock::Clock,
+    /// Latest view of the deployment.
+    pub view: tokio::sync::watch::Receiver<Arc<view::View>>,
+    /// What the backend servers have said of themselves.
+    pub notices: Arc<Mutex<server_notices::ServerNotices>>,
+    /// Limits that servers name.
+    pub limits: Arc<limits::Limits>,
+    /// Roll-outs in progress.
+    pub rollouts: Arc<rollouts::Rollouts>,
+    /// Requests under which servers ended.
+    pub crashes: Arc<crashes::Crashes>,
+    /// Counters and histograms.
+    pub metrics: Arc<metrics::Metrics>,
+}
+
 /// Key of a latency forecast: a service and the model that it runs.
 pub type ForecastKey = (name::ServiceName, Option<name::ModelName>);
 
@@ -81,15 +103,8 @@
 impl GatewayState {
     /// Creates the state of a host that has received no requests.
     #[must_use]
-    pub fn new(
-        settings: Arc<settings::Settings>,
-        clock: clock::Clock,
-        view: tokio::sync::watch::Receiver<Arc<view::View>>,
-        notices: Arc<Mutex<server_notices::ServerNotices>>,
-        rollouts: Arc<rollouts::Rollouts>,
-        crashes: Arc<crashes::Crashes>,
-        metrics: Arc<metrics::Metrics>,
-    ) -> Self {
+    pub fn new(inputs: Inputs) -> Self {
+        let Inputs { settings, clock, view, notices, limits, rollouts, crashes, metrics } = inputs;
         Self {
             settings,
             clock,
@@ -98,7 +113,7 @@
             buffer_budget: response_buffer::BufferBudget::default(),
             placement: Mutex::new(placement::Placement::new()),
             notices,
-            named_limits: Mutex::new(collections::BTreeMap::new()),
+            limits,
             rollouts,
             crashes,
             metrics,
@@ -126,11 +141,6 @@
         self.notices.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Locks the limits that servers name.
-    pub fn named_limits(&self) -> MutexGuard<'_, collections::BTreeMap<name::ServerId, u64>> {
-        self.named_limits.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// The servers of a service that accept new requests now or after a pause.
     #[must_use]
     pub fn staying_servers(&self, service: &name::ServiceName) -> Vec<Arc<server::BackendServer>> {
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -14,6 +14,10 @@
 /// Priority from which all requests come back at the same time after a pause; 0 is the most urgent.
 const LAST_RETURN_PRIORITY: u32 = 3;
 
+/// Time after which callers come back to servers that have reached their limits, in milliseconds, for
+/// each step of priority; the same again is spread by chance.
+const RETRY_AFTER_LIMIT_MS: u64 = 500;
+
 /// The decision on a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
@@ -48,3 +52,11 @@
     let by_chance_ms = random % (half_spread_ms + 1);
     pause_left_ms.saturating_add(by_priority_ms).saturating_add(by_chance_ms)
 }
+
+/// Time after which a caller may come back when all servers of a service have reached the limits that
+/// they name, in milliseconds: callers of urgent requests first, spread by a random number.
+#[must_use]
+pub fn retry_after_limit_ms(priority: u32, random: u64) -> u64 {
+    let rank = u64::from(priority.min(LAST_RETURN_PRIORITY));
+    RETRY_AFTER_LIMIT_MS * (rank + 1) + random % (RETRY_AFTER_LIMIT_MS * (rank + 1))
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,8 @@
 pub mod retry;
 pub mod retry_quota;
 pub mod sequential_test;
+pub mod server_limits;
 pub mod server_notices;
+pub mod server_run;
 pub mod version_choice;
 pub mod window;
--- a/crates/policy/src/server_notices.rs
+++ b/crates/policy/src/server_notices.rs
@@ -11,12 +11,13 @@
 //! not flooded at the end of its pause.
 
 use std::collections;
-use std::net;
 
 use toucanwall_routing::name;
 use toucanwall_routing::server;
 use xxhash_rust::xxh3;
 
+use crate::server_run;
+
 /// Time for which a notice is kept after the entry of its server has vanished, in milliseconds:
 /// longer than any list of servers may be out of date.
 const RETENTION_MS: u64 = 600_000;
@@ -37,7 +38,7 @@
 /// What one run of a server has said of itself.
 #[derive(Debug)]
 struct Notice {
-    run: Run,
+    run: server_run::ServerRun,
     /// Whether the server has said that it leaves.
     is_leaving: bool,
     /// When this host returns to the server after the latest end of its pauses, in milliseconds; 0
@@ -47,13 +48,6 @@
     last_known_ms: u64,
 }
 
-/// A run of a server, as far as it can be told from others under the same id.
-#[derive(Debug, Clone, Copy)]
-struct Run {
-    address: net::SocketAddr,
-    started_unix_ms: Option<u64>,
-}
-
 /// Whether a server accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Acceptance {
@@ -151,13 +145,15 @@
 
     /// What this run of a server, or a later one under its id, has said.
     fn notice_of(&self, server: &server::BackendServer) -> Option<&Notice> {
-        self.notices.get(&server.id).filter(|notice| !Run::of(server).is_later_than(notice.run))
+        self.notices
+            .get(&server.id)
+            .filter(|notice| !server_run::ServerRun::of(server).is_later_than(notice.run))
     }
 
     /// The record of a run of a server, which replaces that of an earlier one; `None` if a later run
     /// is known.
     fn notice_mut(&mut self, server: &server::BackendServer, now_ms: u64) -> Option<&mut Notice> {
-        let run = Run::of(server);
+        let run = server_run::ServerRun::of(server);
         let notice = self.notices.entry(server.id.clone()).or_insert_with(|| Notice::new(run));
         if run.is_later_than(notice.run) {
             *notice = Notice::new(run);
@@ -178,22 +174,7 @@
 }
 
 impl Notice {
-    fn new(run: Run) -> Self {
+    fn new(run: server_run::ServerRun) -> Self {
         Self { run, is_leaving: false, paused_until_ms: 0, last_known_ms: 0 }
     }
 }
-
-impl Run {
-    fn of(server: &server::BackendServer) -> Self {
-        Self { address: server.address, started_unix_ms: server.started_unix_ms }
-    }
-
-    /// Whether this run started after another one under the same id. Without both start times only
-    /// another address tells two runs apart.
-    fn is_later_than(self, other: Self) -> bool {
-        match (self.started_unix_ms, other.started_unix_ms) {
-            (Some(own_ms), Some(other_ms)) => own_ms > other_ms,
-            _ => self.address != other.address,
-        }
-    }
-}
