Answer every request that a stopping host has taken

Callers whose requests came late in the grace of a planned stop got no answer: the host took everything for 30 % of the grace, whatever its time, and ended at 92 % of it with what was open. A server that needs 3.6 s, a grace of 4 s: a booking sent 0.1 or 1 s after SIGTERM was passed on and cut without a byte; likewise with a grace of 1 s, and a body that was still being read.

A host that shuts down takes a request only if it is likely to be finished when the host ends: by its deadline, or by the durations of the latest requests of its route, the longest of them if it must not run twice. All else is rejected at once, so that its caller goes elsewhere. What is open at the end gets 504, or 503 if nothing of it was written to a server.

--- a/crates/daemon/tests/gateway_fleet/mod.rs
+++ b/crates/daemon/tests/gateway_fleet/mod.rs
@@ -23,6 +23,7 @@
 /// How long a test waits for a condition without a time limit of its own.
 const WAIT_TIMEOUT: time::Duration = time::Duration::from_mins(1);
 
+const GRACE_S: u64 = 4;
 const CALLER_PORT: u16 = 8_227;
 const READINESS_PORT: u16 = 8_220;
 const REGISTRY_PORT: u16 = 8_224;
@@ -39,6 +40,8 @@
     /// Retries per service and window, with a retry ratio of zero; `None` for an ample retry
     /// budget.
     pub retry_allowance: Option<u64>,
+    /// Time between SIGTERM and the end of hosts that are started from now on, in seconds.
+    pub grace_s: u64,
     /// Address of the store in the settings of hosts that are started from now on.
     pub store_address: net::SocketAddr,
     temp_dir: tempfile::TempDir,
@@ -176,6 +179,7 @@
         let store = store::Store::start().await;
         Self {
             retry_allowance: None,
+            grace_s: GRACE_S,
             store_address: store.address,
             store,
             hosts: Vec::new(),
@@ -401,13 +405,13 @@
     }
 
     fn settings_yaml(&self, index: usize, ip: net::Ipv4Addr) -> String {
-        let store = self.store_address;
+        let (store, grace_s) = (self.store_address, self.grace_s);
         let (ratio, allowance) = self.retry_allowance.map_or((0.9, 52), |extra| (0.0, extra));
         format!(
             "node_name: host-{index}\nzone: dc-1\nregion: r\nip: {ip}\nheartbeat_ms: 1200\n\
              listen:\n  frontend: {ip}:{CALLER_PORT}\n  ready: {ip}:{READINESS_PORT}\n  registry: {ip}:{REGISTRY_PORT}\n\
              internal_ports:\n  - {FIRST_INTERNAL_PORT}\n  - {LAST_INTERNAL_PORT}\n\
-             bounds:\n  contact_ms: 3000\n  config_apply_ms: 2000\n  drain_ms: 2000\n  grace_s: 4\n  \
+             bounds:\n  contact_ms: 3000\n  config_apply_ms: 2000\n  drain_ms: 2000\n  grace_s: {grace_s}\n  \
              retry_budget_ratio: {ratio}\n  budget_window_s: 10\n  retry_allowance: {allowance}\n\
              platform:\n  address: {store}\n"
         )
--- a/crates/daemon/tests/planned_stop.rs
+++ b/crates/daemon/tests/planned_stop.rs
@@ -76,3 +76,98 @@
     println!("{} connections, {unanswered} without an answer", ends.len());
     assert_eq!(unanswered, 0, "of {}: {}", ends.len(), fleet.log(0));
 }
+
+/// Time that a server takes for a response in [`late_requests_are_answered_or_refused`].
+const SLOW_RESPONSE: time::Duration = time::Duration::from_millis(3_600);
+
+/// Sends a request with a deadline beyond the end of the host; returns all that arrives.
+async fn send_slow(address: std::net::SocketAddr, path: &str, id: &str) -> Vec<u8> {
+    let mut stream = tokio::net::TcpStream::connect(address).await.expect("a connection");
+    let method = if path.starts_with("/read/") { "GET" } else { "POST" };
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nhost: site.example\r\nx-toucanwall-attempt-id: {id}\r\n\
+         authorization: Token {}\r\ncontent-length: 0\r\n\r\n",
+        gateway_fleet::KEY
+    );
+    stream.write_all(request.as_bytes()).await.expect("the request is written");
+    let mut bytes = Vec::new();
+    // A reset after the response changes nothing.
+    drop(stream.read_to_end(&mut bytes).await);
+    bytes
+}
+
+/// Requests that a stopping host has taken in its grace get a complete answer before it ends, whatever
+/// their server does; one that is refused has not run.
+#[rstest]
+#[case::safe_at_once("/read/x", 4, 100)]
+#[case::safe_late("/read/x", 4, 1_000)]
+#[case::unsafe_at_once("/book/x", 4, 100)]
+#[case::unsafe_late("/book/x", 4, 1_000)]
+#[case::short_grace("/book/x", 1, 100)]
+#[case::long_grace("/book/x", 12, 1_000)]
+#[tokio::test(flavor = "multi_thread")]
+async fn late_requests_are_answered_or_refused(
+    #[case] path: &str,
+    #[case] grace_s: u64,
+    #[case] delay_ms: u64,
+) {
+    let behaviour = backend::Behaviour::RespondAfter(SLOW_RESPONSE);
+    let server = backend::Backend::start("s-1", behaviour).await;
+    let mut fleet = GatewayFleet::prepare().await;
+    fleet.grace_s = grace_s;
+    fleet.store.put("config", "main", &gateway_fleet::configuration(2));
+    fleet.register("desk", &server, "ready");
+    fleet.add_ready_host().await;
+    let address = fleet.caller_address(0);
+    fleet.signal(0, "-TERM");
+    // A second signal changes nothing.
+    fleet.signal(0, "-TERM");
+    tokio::time::sleep(time::Duration::from_millis(delay_ms)).await;
+    let response = send_slow(address, path, "late").await;
+    fleet.wait_for_exit(0).await;
+    let text = String::from_utf8_lossy(&response);
+    assert!(text.starts_with("HTTP/1.1 "), "no answer: {text:?}\n{}", fleet.log(0));
+    let (head, body) = text.split_once("\r\n\r\n").expect("a complete head");
+    let length = format!("content-length: {}", body.len());
+    assert!(head.contains(&length), "incomplete answer: {text:?}\n{}", fleet.log(0));
+    let is_refused = head.starts_with("HTTP/1.1 503");
+    assert!(!is_refused || server.executed().is_empty(), "refused and executed: {text:?}");
+}
+
+/// A request whose body is still being read when the host ends is refused.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_is_never_complete_is_refused_at_the_end() {
+    let server = backend::Backend::start("s-1", backend::Behaviour::Respond).await;
+    let mut fleet = GatewayFleet::start(1, &[("desk", &server)]).await;
+    let request = format!(
+        "POST /book/x HTTP/1.1\r\nhost: site.example\r\nx-toucanwall-attempt-id: half\r\n\
+         authorization: Token {}\r\ncontent-length: 10\r\n\r\nhalf",
+        gateway_fleet::KEY
+    );
+    let mut stream = fleet.send_raw(0, &request).await;
+    fleet.signal(0, "-TERM");
+    let mut bytes = Vec::new();
+    drop(stream.read_to_end(&mut bytes).await);
+    fleet.wait_for_exit(0).await;
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(text.starts_with("HTTP/1.1 503 "), "{text:?}\n{}", fleet.log(0));
+    assert!(server.executed().is_empty());
+}
+
+/// What a server is known to do fast is still taken in the grace.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn fast_requests_are_served_while_callers_learn_of_other_hosts() {
+    let behaviour = backend::Behaviour::RespondAfter(time::Duration::from_millis(10));
+    let server = backend::Backend::start("s-1", behaviour).await;
+    let mut fleet = GatewayFleet::start(1, &[("desk", &server)]).await;
+    for _ in 0..20 {
+        fleet.send(0, "POST", "/book/x", &[]).await;
+    }
+    fleet.signal(0, "-TERM");
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let response = send_slow(fleet.caller_address(0), "/book/x", "late").await;
+    fleet.wait_for_exit(0).await;
+    assert!(response.starts_with(b"HTTP/1.1 200 "), "{response:?}\n{}", fleet.log(0));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -229,6 +229,7 @@
             &in_flight.server,
             &exchange.head.attempt_id,
         );
+        exchange.send_record.record_send();
         let sending = tokio::time::timeout(timeout, connection.send(request));
         let sent = tokio::select! {
             sent = sending => sent,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -77,6 +77,8 @@
     pub attribution: attribution::Attribution,
     /// Servers to which the request is not sent again.
     pub excluded: collections::BTreeSet<name::ServerId>,
+    /// Whether the request may have reached a server.
+    pub send_record: execution::SendRecord,
     /// Place among the requests that wait for permits.
     pub place: limits::Place,
     /// Until when the request may wait for a permit, in milliseconds, once it waits.
--- a/crates/gateway/src/execution.rs
+++ b/crates/gateway/src/execution.rs
@@ -5,6 +5,8 @@
 //! state.
 
 use std::marker;
+use std::sync::Arc;
+use std::sync::atomic;
 
 use toucanwall_platform::response;
 
@@ -108,3 +110,27 @@
         (is_own && is_confirmed).then_some(Self(()))
     }
 }
+
+/// Whether a request may have reached a server; whoever gives the request up keeps a copy.
+#[derive(Debug, Clone, Default)]
+pub struct SendRecord {
+    may_have_been_sent: Arc<atomic::AtomicBool>,
+}
+
+impl SendRecord {
+    /// Records that bytes of the request are about to be written to a server.
+    pub fn record_send(&self) {
+        self.may_have_been_sent.store(true, atomic::Ordering::Release);
+    }
+
+    /// Refuses a request that is given up; `None` if it may have reached a server.
+    #[must_use]
+    pub fn refuse_unsent(
+        &self,
+        status: hyper::StatusCode,
+        retry_after_ms: Option<u64>,
+    ) -> Option<response::Refusal> {
+        let may_have_been_sent = self.may_have_been_sent.load(atomic::Ordering::Acquire);
+        (!may_have_been_sent).then_some(response::Refusal { status, retry_after_ms })
+    }
+}
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -11,12 +11,14 @@
 use toucanwall_platform::response;
 use toucanwall_policy::attribution;
 use toucanwall_policy::escalation;
+use toucanwall_policy::shutdown;
 use toucanwall_routing::configuration;
 use toucanwall_routing::name;
 use toucanwall_routing::view;
 
 use crate::caller_stream;
 use crate::exchange;
+use crate::execution;
 use crate::state;
 use crate::stream;
 
@@ -64,6 +66,13 @@
     retry_after_ms: Option<u64>,
 }
 
+/// Sends a caller to another host because this one shuts down.
+const STOPPING: Rejection = Rejection {
+    status: hyper::StatusCode::SERVICE_UNAVAILABLE,
+    reason: "stopping",
+    retry_after_ms: Some(RETRY_OTHER_HOST_MS),
+};
+
 impl Ingress {
     /// Binds the listening socket.
     ///
@@ -206,7 +215,11 @@
     let (parts, body) = request.into_parts();
     let limits = state.view().configuration.as_ref().map(|configuration| configuration.limits());
     let body_max_bytes = limits.map_or(BODY_MAX_BYTES, |limits| limits.body_max_bytes);
-    let body = match read_body(body, body_max_bytes).await {
+    let read = tokio::select! {
+        read = read_body(body, body_max_bytes) => read,
+        () = state.lifecycle.ended(state.clock) => Err(STOPPING),
+    };
+    let body = match read {
         Ok(body) => body,
         Err(rejection) => {
             let mut response = reject(&state, "unread", rejection);
@@ -245,8 +258,7 @@
 ) -> Result<exchange::Exchange, Rejection> {
     let unavailable = hyper::StatusCode::SERVICE_UNAVAILABLE;
     if state.lifecycle.stage() == state::Stage::Draining {
-        let retry_after_ms = Some(RETRY_OTHER_HOST_MS);
-        return Err(Rejection { status: unavailable, reason: "stopping", retry_after_ms });
+        return Err(STOPPING);
     }
     let Some(configuration) = view.configuration.as_ref().filter(|_| view.is_complete()) else {
         let retry_after_ms = Some(RETRY_NOT_READY_MS);
@@ -268,6 +280,10 @@
         reason: "no service",
         retry_after_ms: None,
     })?;
+    let deadline_at_ms = exchange::deadline_at_ms(route, &head, received_at_ms);
+    if is_too_late(state, route, deadline_at_ms) {
+        return Err(STOPPING);
+    }
     let content_hash = content_hash(organisation.map(|known| &known.name), &parts, &body);
     let part_hashes = part_hashes(service, &head.prompt_part_ids);
     let priority = organisation.and_then(|organisation| organisation.priority);
@@ -283,12 +299,13 @@
         part_hashes,
         service: service.clone(),
         received_at_ms,
-        deadline_at_ms: exchange::deadline_at_ms(route, &head, received_at_ms),
+        deadline_at_ms,
         last_event_id: head.last_event_id,
         model: escalation::first_model(&route.models).filter(|_| router_selects_model).cloned(),
         attempts: 0,
         attribution: attribution::Attribution::default(),
         excluded: std::collections::BTreeSet::new(),
+        send_record: execution::SendRecord::default(),
         place: state.limits.new_place(priority),
         waits_until_ms: None,
         head,
@@ -297,6 +314,27 @@
     })
 }
 
+/// Whether a request is likely to be still open when this host ends, if it shuts down.
+fn is_too_late(
+    state: &state::GatewayState,
+    route: &configuration::Route,
+    deadline_at_ms: u64,
+) -> bool {
+    let Some(ends_ms) = state.lifecycle.ends_ms() else { return false };
+    let now_ms = state.clock.now_ms();
+    let repetition = if route.idempotency.allows_retry() {
+        shutdown::Repetition::Allowed
+    } else {
+        shutdown::Repetition::Forbidden
+    };
+    let decision = shutdown::decide(
+        state.expected_duration_ms(&route.name, repetition),
+        deadline_at_ms.saturating_sub(now_ms),
+        ends_ms.saturating_sub(now_ms),
+    );
+    decision == shutdown::Decision::Reject
+}
+
 async fn respond(
     exchange: exchange::Exchange,
     open_request: OpenRequest,
@@ -307,14 +345,17 @@
     let attempt_id = Arc::clone(&exchange.head.attempt_id);
     let route = exchange.route.name.clone();
     let deadline = state.clock.instant_at(exchange.deadline_at_ms);
-    let outcome = match tokio::time::timeout_at(deadline, exchange.run()).await {
-        Ok(outcome) => outcome,
-        Err(_elapsed) => {
-            let status = hyper::StatusCode::GATEWAY_TIMEOUT;
-            exchange::Response::Failed(status, "no answer in time")
-        }
+    let send_record = exchange.send_record.clone();
+    let outcome = tokio::select! {
+        outcome = tokio::time::timeout_at(deadline, exchange.run()) => outcome.unwrap_or(
+            exchange::Response::Failed(hyper::StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+        ),
+        () = state.lifecycle.ended(state.clock) => give_up_at_end(&send_record),
     };
     let took_ms = state.clock.now_ms().saturating_sub(received_at_ms);
+    if matches!(outcome, exchange::Response::Complete(_) | exchange::Response::Failed(..)) {
+        state.record_duration(&route, took_ms);
+    }
     match outcome {
         exchange::Response::Complete(response) => {
             let status = response.status().as_u16();
@@ -331,7 +372,7 @@
                 first_event_ms = took_ms; "stream begun"
             );
             state.metrics.record_response(stream.head().status.as_u16(), took_ms);
-            stream_response(*stream, open_request, deadline, reset_switch)
+            stream_response(*stream, open_request, received_at_ms, deadline, reset_switch)
         }
         exchange::Response::Refused(refusal, reason) => {
             let (status, retry_after_ms) = (refusal.status, refusal.retry_after_ms);
@@ -349,9 +390,18 @@
     }
 }
 
+/// Ends a request that is open when the host ends.
+fn give_up_at_end(send_record: &execution::SendRecord) -> exchange::Response {
+    match send_record.refuse_unsent(STOPPING.status, STOPPING.retry_after_ms) {
+        Some(refusal) => exchange::Response::Refused(refusal, STOPPING.reason),
+        None => exchange::Response::Failed(hyper::StatusCode::GATEWAY_TIMEOUT, "host stops"),
+    }
+}
+
 fn stream_response(
     stream: stream::EventStream,
     open_request: OpenRequest,
+    received_at_ms: u64,
     deadline: tokio::time::Instant,
     reset_switch: Option<caller_stream::ResetSwitch>,
 ) -> hyper::Response<Body> {
@@ -362,9 +412,16 @@
         Some((stream, open_request, reset_switch)),
         move |state| async move {
             let (mut stream, open_request, reset_switch) = state?;
-            let next = match tokio::time::timeout_at(deadline, stream.next()).await {
-                Ok(next) => next?,
-                Err(_elapsed) => Err(stream.expire()),
+            let state = Arc::clone(&open_request.0);
+            let next = tokio::select! {
+                next = tokio::time::timeout_at(deadline, stream.next()) => {
+                    next.unwrap_or_else(|_elapsed| Some(Err(stream::StreamError::DEADLINE)))
+                }
+                () = state.lifecycle.ended(state.clock) => Some(Err(stream::StreamError::STOPPING)),
+            };
+            let Some(next) = next else {
+                record_stream_duration(&stream, &state, received_at_ms);
+                return None;
             };
             if let Err(error) = &next {
                 let request = stream.exchange().map(|exchange| &*exchange.head.attempt_id);
@@ -380,6 +437,17 @@
     response.map(|()| http_body_util::StreamBody::new(frames).boxed_unsync())
 }
 
+fn record_stream_duration(
+    stream: &stream::EventStream,
+    state: &state::GatewayState,
+    received_at_ms: u64,
+) {
+    if let Some(exchange) = stream.exchange() {
+        let took_ms = state.clock.now_ms().saturating_sub(received_at_ms);
+        state.record_duration(&exchange.route.name, took_ms);
+    }
+}
+
 async fn read_body(
     mut body: hyper::body::Incoming,
     max_bytes: usize,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -33,8 +33,12 @@
 /// Share of the time between SIGTERM and SIGKILL in which new requests are still accepted, in
 /// percent. In this time callers learn the addresses of other hosts.
 const ACCEPT_PERCENT: u64 = 30;
-/// Share of that time after which remaining requests are aborted, in percent.
-const ABORT_PERCENT: u64 = 92;
+/// Share of that time after which open requests are given up, in percent.
+const GIVE_UP_PERCENT: u64 = 92;
+/// Share of that time after which nothing more is waited for, in percent.
+const END_PERCENT: u64 = 97;
+/// Time in which responses to requests that are given up reach their callers, in milliseconds.
+const LAST_RESPONSES_MS: u64 = 100;
 /// Interval at which unneeded connections and servers are removed, in milliseconds.
 const HOUSEKEEPING_INTERVAL_MS: u64 = 1_000;
 /// Interval at which a stopping host checks for open requests, in milliseconds.
@@ -224,22 +228,33 @@
     let grace_ms = settings.bounds.grace_ms;
     let started_ms = state.clock.now_ms();
     log::info!(target: "toucanwall", grace_ms = grace_ms; "host leaves");
+    let ends_ms = started_ms + grace_ms * GIVE_UP_PERCENT / 100;
+    let limit_ms = started_ms + grace_ms * END_PERCENT / 100;
+    state.lifecycle.set_end(ends_ms);
     state.lifecycle.advance(state::Stage::Leaving);
     send_command(commands, control::Command::AnnounceStop);
     let stop_accepting_at = state.clock.instant_at(started_ms + grace_ms * ACCEPT_PERCENT / 100);
     tokio::time::sleep_until(stop_accepting_at).await;
     state.lifecycle.advance(state::Stage::Draining);
     shutdown.send_replace(true);
-    let abort_ms = started_ms + grace_ms * ABORT_PERCENT / 100;
-    let unread_until_ms = (state.clock.now_ms() + ingress::UNREAD_MS).min(abort_ms);
-    while has_open_work(state, unread_until_ms) && state.clock.now_ms() < abort_ms {
-        tokio::time::sleep(time::Duration::from_millis(DRAIN_POLL_INTERVAL_MS)).await;
+    let unread_until_ms = (state.clock.now_ms() + ingress::UNREAD_MS).min(ends_ms);
+    let poll_interval = time::Duration::from_millis(DRAIN_POLL_INTERVAL_MS);
+    while has_open_work(state, unread_until_ms) && state.clock.now_ms() < ends_ms {
+        tokio::time::sleep(poll_interval).await;
+    }
+    let given_up = state.open_requests.load(atomic::Ordering::Relaxed);
+    log::info!(target: "toucanwall", given_up = given_up; "host has finished its requests");
+    let responses_until_ms = (ends_ms + LAST_RESPONSES_MS).min(limit_ms);
+    while given_up > 0
+        && state.open_connections.load(atomic::Ordering::Relaxed) > 0
+        && state.clock.now_ms() < responses_until_ms
+    {
+        tokio::time::sleep(poll_interval).await;
     }
-    let remaining = state.open_requests.load(atomic::Ordering::Relaxed);
-    log::info!(target: "toucanwall", broken_off = remaining; "host has finished its requests");
     let (sender, done) = tokio::sync::oneshot::channel();
     send_command(commands, control::Command::RemoveHost(sender));
-    let timeout = time::Duration::from_millis(ENTRY_REMOVAL_TIMEOUT_MS);
+    let left_ms = limit_ms.saturating_sub(state.clock.now_ms());
+    let timeout = time::Duration::from_millis(left_ms.min(ENTRY_REMOVAL_TIMEOUT_MS));
     if tokio::time::timeout(timeout, done).await.is_err() {
         log::warn!(target: "toucanwall", "host entry not removed in time; other hosts have to notice that this host no longer responds");
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use toucanwall_policy::placement;
 use toucanwall_policy::retry_quota;
 use toucanwall_policy::server_notices;
+use toucanwall_policy::shutdown;
 use toucanwall_routing::name;
 use toucanwall_routing::server;
 use toucanwall_routing::settings;
@@ -57,6 +58,7 @@
     pub lifecycle: Lifecycle,
     retry_quotas: Mutex<collections::BTreeMap<name::ServiceName, retry_quota::RetryQuota>>,
     forecasts: Mutex<collections::BTreeMap<ForecastKey, forecast::Forecast>>,
+    durations: Mutex<collections::BTreeMap<name::RouteName, shutdown::Durations>>,
 }
 
 /// What the state of a host is made from; the control thread shares most of it.
@@ -83,10 +85,12 @@
 /// Key of a latency forecast: a service and the model that it runs.
 pub type ForecastKey = (name::ServiceName, Option<name::ModelName>);
 
-/// Current [`Stage`] of a host, which only advances.
+/// Current [`Stage`] of a host, which only advances, and when the host ends.
 #[derive(Debug, Default)]
 pub struct Lifecycle {
     stage: atomic::AtomicU8,
+    /// When all open requests are answered, in milliseconds, once the host shuts down.
+    ends_ms: tokio::sync::watch::Sender<Option<u64>>,
 }
 
 /// Stage of a host between serving and shutdown.
@@ -122,6 +126,7 @@
             lifecycle: Lifecycle::default(),
             retry_quotas: Mutex::new(collections::BTreeMap::new()),
             forecasts: Mutex::new(collections::BTreeMap::new()),
+            durations: Mutex::default(),
         }
     }
 
@@ -219,6 +224,23 @@
         forecasts.entry(key).or_default().record(units, first_byte_ms, self.clock.now_ms());
     }
 
+    /// Records how long a request of a route has taken until its response was complete.
+    pub fn record_duration(&self, route: &name::RouteName, took_ms: u64) {
+        let mut durations = self.durations.lock().unwrap_or_else(PoisonError::into_inner);
+        durations.entry(route.clone()).or_default().record(took_ms);
+    }
+
+    /// How long a request of a route is likely to take at the most, in milliseconds.
+    #[must_use]
+    pub fn expected_duration_ms(
+        &self,
+        route: &name::RouteName,
+        repetition: shutdown::Repetition,
+    ) -> Option<u64> {
+        let durations = self.durations.lock().unwrap_or_else(PoisonError::into_inner);
+        durations.get(route).and_then(|durations| durations.expected_ms(repetition))
+    }
+
     /// Returns the expected time to the first byte for an amount of work, in milliseconds.
     #[must_use]
     pub fn expected_first_byte_ms(&self, key: &ForecastKey, units: u64) -> Option<u64> {
@@ -256,6 +278,29 @@
         }
     }
 
+    /// Records when all open requests are answered, since the host ends then.
+    pub fn set_end(&self, ends_ms: u64) {
+        self.ends_ms.send_replace(Some(ends_ms));
+    }
+
+    /// When all open requests are answered, in milliseconds; `None` while the host does not shut
+    /// down.
+    #[must_use]
+    pub fn ends_ms(&self) -> Option<u64> {
+        *self.ends_ms.borrow()
+    }
+
+    /// Waits until all open requests have to be answered.
+    pub async fn ended(&self, clock: clock::Clock) {
+        let mut receiver = self.ends_ms.subscribe();
+        // The sender lives as long as this.
+        let ends_ms = receiver.wait_for(Option::is_some).await.ok().and_then(|ends_ms| *ends_ms);
+        match ends_ms {
+            Some(ends_ms) => tokio::time::sleep_until(clock.instant_at(ends_ms)).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Advances to a later stage; an earlier one has no effect.
     pub fn advance(&self, stage: Stage) {
         let value = match stage {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -66,6 +66,13 @@
 #[error("stream aborted: {0}")]
 pub struct StreamError(&'static str);
 
+impl StreamError {
+    /// The deadline of the request has passed.
+    pub const DEADLINE: Self = Self("deadline exceeded");
+    /// The host has shut down.
+    pub const STOPPING: Self = Self("host stops");
+}
+
 /// Returns whether a response is an event stream. An error is none, whatever its type.
 #[must_use]
 pub fn is_event_stream(opened: &attempt::OpenResponse) -> bool {
@@ -150,13 +157,6 @@
         }
     }
 
-    /// Aborts the stream because its deadline has passed.
-    #[must_use]
-    pub fn expire(&mut self) -> StreamError {
-        self.upstream = None;
-        StreamError("deadline exceeded")
-    }
-
     /// Returns the request, if one is attached.
     #[must_use]
     pub fn exchange(&self) -> Option<&exchange::Exchange> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod server_limits;
 pub mod server_notices;
 pub mod server_run;
+pub mod shutdown;
 pub mod version_choice;
 pub mod window;
