Treat the end of a connection right behind an unframed head as a break

An empty 200 without a length is unknown now, as the end before the first event of a stream has been. Bare line feeds and a length given twice stay complete responses, as HTTP has it.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -599,8 +599,19 @@
                 );
             }
         };
-        in_flight.release_connection(connection, head.keep_alive);
         let status = head.status;
+        // A server that ends behind the head looks the same as one that has nothing to say.
+        let is_head_response = self.parts.method == hyper::Method::HEAD;
+        if bytes.is_empty()
+            && in_flight.ends_with_connection()
+            && status == hyper::StatusCode::OK
+            && !is_head_response
+        {
+            let reason = "connection ended before the body".to_owned();
+            let error = in_flight.record_break(reason).await;
+            return (AttemptOutcome::Failed(error, None), None);
+        }
+        in_flight.release_connection(connection, head.keep_alive);
         let is_failure = status.is_server_error();
         if is_failure {
             in_flight.record_outcome(placement::Outcome::Failed);
