Let servers of the soak name limits, and callers use connections until they end

Callers on kept connections send bookings until the connection ends, whatever its responses say; each booking that a server executed must get a complete response unless its host was killed or frozen. A third sequence lets servers name limits beside the two of faults; hosts that were not disrupted must keep them together. Servers answer slowly at times, and TOUCANWALL_SOAK_HOSTS sets the number of hosts.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -4,6 +4,8 @@
 //! A few seeds run with the other tests. To run a range of seeds:
 //!
 //!     TOUCANWALL_SOAK=100-149 cargo test --release -p toucanwall-daemon --test soak -- --nocapture
+//!
+//! `TOUCANWALL_SOAK_HOSTS` sets the number of hosts.
 
 mod gateway_fleet;
 
@@ -19,12 +21,15 @@
 use rand::SeedableRng as _;
 use rand::seq::IndexedRandom as _;
 use rstest::rstest;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
 use toucanwall_platform_standin::backend;
 use toucanwall_platform_standin::backend::Behaviour;
 use toucanwall_platform_standin::proxy;
 use toucanwall_platform_standin::store;
 
-const HOST_COUNT: usize = 5;
+/// Number of hosts without `TOUCANWALL_SOAK_HOSTS`.
+const DEFAULT_HOST_COUNT: usize = 5;
 const DESK_COUNT: usize = 3;
 const ENGINE_COUNT: usize = 3;
 /// Engines of a service of which all servers crash under a part of a prompt.
@@ -69,8 +74,43 @@
 /// Number of concurrent callers.
 const CALLER_COUNT: u64 = 6;
 
+/// Window in which requests to a server that names a limit are counted.
+const LIMIT_WINDOW: time::Duration = time::Duration::from_secs(4);
+/// Limits that servers name, in requests a second.
+const LIMITS: [&str; 3] = ["0.5", "2.2", "10.0"];
+/// Time after the disruption of a host in which its connections may end without an answer.
+const BREAK_TIME: time::Duration = time::Duration::from_secs(3);
+/// Time that a slow server takes for a response.
+const SLOW_RESPONSE: time::Duration = time::Duration::from_millis(1_500);
+/// Number of callers that use a connection until it ends.
+const KEPT_CALLER_COUNT: u64 = 4;
+
 type Rng = rand_chacha::ChaCha8Rng;
 
+/// A time in which a server named a limit.
+#[derive(Debug, Clone, Copy)]
+struct LimitPhase {
+    /// The server, by index.
+    server: usize,
+    limit: &'static str,
+    begin: time::Instant,
+    end: time::Instant,
+}
+
+/// A request on a kept connection that got no complete response.
+#[derive(Debug, Clone)]
+struct Unanswered {
+    id: String,
+    host: usize,
+    sent: time::Instant,
+    ended: time::Instant,
+}
+
+fn host_count() -> usize {
+    let Ok(count) = env::var("TOUCANWALL_SOAK_HOSTS") else { return DEFAULT_HOST_COUNT };
+    count.parse().expect("TOUCANWALL_SOAK_HOSTS is a number")
+}
+
 /// The test configuration with a route to the engines that crash.
 fn configuration(version: u64) -> serde_json::Value {
     let mut configuration = gateway_fleet::configuration(version);
@@ -99,6 +139,8 @@
     hosts_of_requests: Mutex<collections::BTreeMap<String, usize>>,
     /// Beginnings and ends of disruptions: pauses around such a moment are not counted.
     disruptions: Mutex<Vec<(Disrupted, time::Instant)>>,
+    limit_phases: Mutex<Vec<LimitPhase>>,
+    unanswered: Mutex<Vec<Unanswered>>,
     requests_sent: atomic::AtomicU64,
     requests_served: atomic::AtomicU64,
     is_finished: atomic::AtomicBool,
@@ -108,6 +150,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Disrupted {
     Host(usize),
+    /// A host that was killed or frozen, besides the same under `Host`.
+    HostUnplanned(usize),
     Server(usize),
 }
 
@@ -154,10 +198,10 @@
             fleet.register_run(FRAGILE_SERVICE, &server, 1);
             fragile_engines.push(server);
         }
-        for _ in 0..HOST_COUNT {
+        for _ in 0..host_count() {
             fleet.add_host();
         }
-        for index in 0..HOST_COUNT {
+        for index in 0..host_count() {
             fleet.wait_for("the host to be ready", async || fleet.is_ready(index).await).await;
         }
         Arc::new(Self {
@@ -170,6 +214,8 @@
             violations: Mutex::new(Vec::new()),
             hosts_of_requests: Mutex::default(),
             disruptions: Mutex::default(),
+            limit_phases: Mutex::default(),
+            unanswered: Mutex::default(),
             requests_sent: atomic::AtomicU64::new(0),
             requests_served: atomic::AtomicU64::new(0),
             is_finished: atomic::AtomicBool::new(false),
@@ -199,7 +245,7 @@
             let part = rng.random_range(0..SOUND_PARTS + 1);
             let is_crashing = part == SOUND_PARTS;
             let id = format!("{}c{caller}-{number}", if is_crashing { CRASHING_ID } else { "" });
-            let host = rng.random_range(0..HOST_COUNT);
+            let host = rng.random_range(0..host_count());
             let (method, path) = [
                 ("GET", "/read/x"),
                 ("POST", BOOKING_PATH),
@@ -296,15 +342,146 @@
     }
 
     fn record_disruption(&self, fault: Fault) {
-        let disrupted = match fault {
-            Fault::Pause(host) | Fault::Kill(host) | Fault::Terminate(host) => {
-                Disrupted::Host(host)
+        let now = time::Instant::now();
+        let mut disruptions = self.disruptions.lock().expect("the lock is not poisoned");
+        match fault {
+            Fault::Pause(host) | Fault::Kill(host) => {
+                disruptions.push((Disrupted::Host(host), now));
+                disruptions.push((Disrupted::HostUnplanned(host), now));
             }
-            Fault::ServerLink(server, _) => Disrupted::Server(server),
-            _ => return,
+            Fault::Terminate(host) => disruptions.push((Disrupted::Host(host), now)),
+            Fault::ServerLink(server, _) => disruptions.push((Disrupted::Server(server), now)),
+            _ => {}
+        }
+    }
+
+    /// Sends bookings on one connection after the other, each for as long as the connection lasts,
+    /// whatever its responses say.
+    async fn run_kept_caller(self: Arc<Self>, caller: u64, mut rng: Rng) {
+        let mut number = 0;
+        while !self.is_finished.load(atomic::Ordering::SeqCst) {
+            let host = rng.random_range(0..host_count());
+            let address = self.fleet.read().await.caller_address(host);
+            let Ok(mut stream) = tokio::net::TcpStream::connect(address).await else {
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+                continue;
+            };
+            loop {
+                number += 1;
+                let id = format!("k{caller}-{number}");
+                self.record_request(&id, host);
+                let sent = time::Instant::now();
+                if !send_booking(&mut stream, &id).await {
+                    let ended = time::Instant::now();
+                    let mut unanswered = self.unanswered.lock().expect("the lock is not poisoned");
+                    unanswered.push(Unanswered { id, host, sent, ended });
+                    break;
+                }
+                if self.is_finished.load(atomic::Ordering::SeqCst) {
+                    return;
+                }
+                let pause_ms = rng.random_range(1..30);
+                tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
+            }
+        }
+    }
+
+    /// Checks that each booking that a host has passed on got a complete response, unless the host was
+    /// killed or frozen.
+    fn check_unanswered(&self) -> usize {
+        let bookings = self.bookings();
+        let disruptions = self.disruptions.lock().expect("the lock is not poisoned").clone();
+        let unanswered = self.unanswered.lock().expect("the lock is not poisoned").clone();
+        let is_lost = |it: &&Unanswered| {
+            let is_excused = disruptions.iter().any(|(disrupted, at)| {
+                *disrupted == Disrupted::HostUnplanned(it.host)
+                    && *at + BREAK_TIME > it.sent
+                    && *at < it.ended + BREAK_TIME
+            });
+            bookings.contains_key(&it.id) && !is_excused
         };
-        let mut disruptions = self.disruptions.lock().expect("the lock is not poisoned");
-        disruptions.push((disrupted, time::Instant::now()));
+        for lost in unanswered.iter().filter(is_lost) {
+            self.record_violation(format!(
+                "{} was executed, and host {} ended its connection without an answer after {:?}",
+                lost.id,
+                lost.host,
+                lost.ended - lost.sent
+            ));
+        }
+        unanswered.len()
+    }
+
+    /// Lets servers name limits, one after the other.
+    async fn name_limits(&self, mut rng: Rng) {
+        let until = tokio::time::Instant::now() + FAULT_PHASE;
+        while tokio::time::Instant::now() < until {
+            let index = rng.random_range(0..DESK_COUNT + ENGINE_COUNT);
+            let server = self.server(index);
+            let limit = LIMITS[rng.random_range(0..LIMITS.len())];
+            let begin = time::Instant::now();
+            server.name_limit(Some(limit));
+            tokio::time::sleep(time::Duration::from_millis(rng.random_range(2_500..6_000))).await;
+            server.name_limit(None);
+            let phase = LimitPhase { server: index, limit, begin, end: time::Instant::now() };
+            self.limit_phases.lock().expect("the lock is not poisoned").push(phase);
+            tokio::time::sleep(time::Duration::from_millis(rng.random_range(10..500))).await;
+        }
+    }
+
+    fn server(&self, index: usize) -> &backend::Backend {
+        self.desks.iter().chain(&self.engines).nth(index).expect("a server")
+    }
+
+    /// Checks that hosts that were not disrupted have together kept the limits that servers had named
+    /// to them. Returns the number of limits that count.
+    fn check_limits(&self) -> usize {
+        let hosts = self.hosts_of_requests.lock().expect("the lock is not poisoned").clone();
+        let disruptions = self.disruptions.lock().expect("the lock is not poisoned").clone();
+        let phases = self.limit_phases.lock().expect("the lock is not poisoned").clone();
+        let mut checked = 0;
+        for phase in phases {
+            let is_disrupted = |wanted: Disrupted| {
+                let within = |at: time::Instant| at + SETTLE_TIME > phase.begin && at < phase.end;
+                disruptions.iter().any(|(disrupted, at)| *disrupted == wanted && within(*at))
+            };
+            // Behind a disrupted link, requests arrive together that were sent apart.
+            if is_disrupted(Disrupted::Server(phase.server)) {
+                continue;
+            }
+            let server = self.server(phase.server);
+            let mut told = collections::BTreeMap::new();
+            for named in server.named_limits() {
+                if named.at >= phase.begin
+                    && named.at <= phase.end
+                    && let Some(host) = hosts.get(&named.attempt_id)
+                {
+                    told.entry(*host).or_insert(named.at);
+                }
+            }
+            told.retain(|host, _| !is_disrupted(Disrupted::Host(*host)));
+            let is_counted = |arrival: &&backend::Arrival| {
+                let told_at = hosts.get(&arrival.attempt_id).and_then(|host| told.get(host));
+                told_at.is_some_and(|at| arrival.at > *at + NOTICE_TIME) && arrival.at < phase.end
+            };
+            let arrivals = server.arrivals();
+            let times: Vec<_> = arrivals.iter().filter(is_counted).map(|it| it.at).collect();
+            let in_window = |first: &time::Instant| {
+                times.iter().filter(|at| *at >= first && **at < *first + LIMIT_WINDOW).count()
+            };
+            let most = times.iter().map(in_window).max().unwrap_or(0);
+            let most = f64::from(u32::try_from(most).expect("a small number"));
+            let per_s: f64 = phase.limit.parse().expect("a number");
+            let allowed = 1.5 * LIMIT_WINDOW.as_secs_f64() * per_s + 5.0;
+            checked += usize::from(!told.is_empty());
+            if most > allowed {
+                self.record_violation(format!(
+                    "{} got {most} requests in {LIMIT_WINDOW:?} from hosts that it had told of its \
+                     limit of {} a second",
+                    server.id, phase.limit
+                ));
+            }
+        }
+        checked
     }
 
     /// Checks that hosts that were not disrupted meanwhile have sent few requests to a server within a
@@ -430,6 +607,7 @@
             Behaviour::TruncateResponse,
             Behaviour::RespondTwice,
             Behaviour::Hang,
+            Behaviour::RespondAfter(SLOW_RESPONSE),
         ];
         let engine_behaviours = [
             Behaviour::Decline,
@@ -447,12 +625,40 @@
     }
 }
 
+/// Sends a booking on a connection; returns whether a complete response arrives.
+async fn send_booking(stream: &mut tokio::net::TcpStream, id: &str) -> bool {
+    let request = format!(
+        "POST {BOOKING_PATH} HTTP/1.1\r\nhost: site.example\r\nx-toucanwall-attempt-id: {id}\r\n\
+         x-toucanwall-deadline-ms: 3000\r\nauthorization: Token {}\r\ncontent-length: 4\r\n\r\nbook",
+        gateway_fleet::KEY
+    );
+    if stream.write_all(request.as_bytes()).await.is_err() {
+        return false;
+    }
+    let mut bytes = Vec::new();
+    loop {
+        let mut buffer = [0; 4_096];
+        match tokio::time::timeout(time::Duration::from_secs(8), stream.read(&mut buffer)).await {
+            Ok(Ok(length)) if length > 0 => bytes.extend_from_slice(&buffer[..length]),
+            _ => return false,
+        }
+        let text = String::from_utf8_lossy(&bytes).to_lowercase();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
+            let length: usize = length.and_then(|it| it.trim().parse().ok()).unwrap_or(0);
+            if body.len() >= length {
+                return true;
+            }
+        }
+    }
+}
+
 fn prompt_headers(prompt: &str) -> [(&'static str, &str); 2] {
     [("x-toucanwall-prefix-hash", prompt), ("x-toucanwall-token-count", "27,40")]
 }
 
 fn random_fault(rng: &mut Rng) -> Fault {
-    let host = rng.random_range(0..HOST_COUNT);
+    let host = rng.random_range(0..host_count());
     let server = rng.random_range(0..DESK_COUNT + ENGINE_COUNT);
     let link_modes = [
         proxy::Mode::Reset,
@@ -500,12 +706,21 @@
         .map(|caller| tokio::spawn(Arc::clone(&deployment).run_caller(caller, rng(caller))))
         .collect();
     tokio::spawn(Arc::clone(&deployment).follow_engines());
-    tokio::join!(inject_faults(&deployment, rng(100)), inject_faults(&deployment, rng(101)));
+    let kept_callers: Vec<_> = (1..=KEPT_CALLER_COUNT)
+        .map(|caller| {
+            tokio::spawn(Arc::clone(&deployment).run_kept_caller(caller, rng(50 + caller)))
+        })
+        .collect();
+    tokio::join!(
+        inject_faults(&deployment, rng(100)),
+        inject_faults(&deployment, rng(101)),
+        deployment.name_limits(rng(102))
+    );
     let faults_end = time::Instant::now();
     check_recovery(&deployment).await;
     check_crashing_part(&deployment, faults_end).await;
     deployment.is_finished.store(true, atomic::Ordering::SeqCst);
-    for caller in callers {
+    for caller in callers.into_iter().chain(kept_callers) {
         caller.await.expect("a caller does not panic");
     }
     for (id, times) in deployment.bookings() {
@@ -516,9 +731,12 @@
         }
     }
     let pauses = deployment.check_pauses();
+    let limits = deployment.check_limits();
+    let unanswered = deployment.check_unanswered();
     let (requests_sent, requests_served) = (&deployment.requests_sent, &deployment.requests_served);
     println!(
-        "seed {seed}: {} requests, {} served, {} crashes, {pauses} requests for a pause checked",
+        "seed {seed}: {} requests, {} served, {} crashes, {pauses} requests for a pause and \
+         {limits} limits checked, {unanswered} connections ended without an answer",
         requests_sent.load(atomic::Ordering::SeqCst),
         requests_served.load(atomic::Ordering::SeqCst),
         deployment.crashes()
@@ -527,7 +745,7 @@
     if !violations.is_empty() {
         let fleet = deployment.fleet.read().await;
         violations.extend(
-            (0..HOST_COUNT).map(|host| format!("log of host {host}:\n{}", fleet.log(host))),
+            (0..host_count()).map(|host| format!("log of host {host}:\n{}", fleet.log(host))),
         );
     }
     violations
@@ -542,7 +760,7 @@
     fleet.store.put("config", "main", &next);
     tokio::time::sleep(gateway_fleet::CONFIG_APPLY_LIMIT).await;
     let with_other_key = [("authorization", "Token key-2")];
-    for host in 0..HOST_COUNT {
+    for host in 0..host_count() {
         let status = fleet.send(host, "GET", "/read/x", &with_other_key).await.map(|a| a.status);
         // A host that has just been restarted may have no configuration yet and responds with 503.
         if !matches!(status, Some(401 | 503)) {
@@ -553,7 +771,7 @@
     }
     let until = tokio::time::Instant::now()
         + RECOVERY_TIME.saturating_sub(SETTLE_TIME + gateway_fleet::CONFIG_APPLY_LIMIT);
-    for host in 0..HOST_COUNT {
+    for host in 0..host_count() {
         while fleet.send(host, "GET", "/read/x", &[]).await.is_none_or(|a| a.status != 200) {
             if tokio::time::Instant::now() > until {
                 deployment
@@ -580,7 +798,8 @@
         ));
     }
     let fleet = deployment.fleet.read().await;
-    for (host, part) in (0..HOST_COUNT).flat_map(|it| (0..SOUND_PARTS).map(move |part| (it, part)))
+    for (host, part) in
+        (0..host_count()).flat_map(|it| (0..SOUND_PARTS).map(move |part| (it, part)))
     {
         let prompt = format!("{FIRST_PART}:9,d{part}:9,aaaa:9");
         let mut statuses = Vec::new();
@@ -603,13 +822,13 @@
     fleet: &GatewayFleet,
     until: tokio::time::Instant,
 ) {
-    for host in 0..HOST_COUNT {
+    for host in 0..host_count() {
         loop {
             let addresses = fleet.resolve(host).await.map(|response| response.body);
             let addresses = addresses.unwrap_or_default();
             let is_missing =
                 |other: &usize| !addresses.contains(&fleet.caller_address(*other).to_string());
-            let missing: Vec<_> = (0..HOST_COUNT).filter(is_missing).collect();
+            let missing: Vec<_> = (0..host_count()).filter(is_missing).collect();
             if missing.is_empty() {
                 break;
             }
