--- a/crates/daemon/tests/limited_servers.rs
+++ b/crates/daemon/tests/limited_servers.rs
@@ -143,3 +143,133 @@
     scenario.finish().await;
     scenario.assert_limit_is_kept(limit);
 }
+
+/// Two hosts with callers, and a single server, which names a limit.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_is_used_and_what_is_beyond_it_is_rejected_with_a_time_to_come_back() {
+    const HOSTS: usize = 2;
+    const CALLERS_PER_HOST: usize = 3;
+    let server = backend::Backend::start("s-1", Behaviour::Respond).await;
+    let fleet = GatewayFleet::start(HOSTS, &[("desk", &server)]).await;
+    server.name_limit(Some("10"));
+    // Views of the hosts count as the same some seconds after the start.
+    let counted_from = time::Instant::now() + time::Duration::from_secs(5);
+    let until = counted_from + LIMITED_TIME;
+    let mut callers = tokio::task::JoinSet::new();
+    for caller in 0..HOSTS * CALLERS_PER_HOST {
+        let requests: Vec<_> = (0..2_000)
+            .map(|number| {
+                let id = format!("{}-{caller}-{number}", caller % HOSTS);
+                fleet.prepare_request(caller % HOSTS, "GET", "/read/x", &id)
+            })
+            .collect();
+        callers.spawn(async move {
+            let mut served = 0;
+            for request in requests {
+                let sent = time::Instant::now();
+                if sent > until {
+                    break;
+                }
+                let response = request.send().await.expect("a response");
+                if response.status == 200 {
+                    served += usize::from(sent > counted_from);
+                } else {
+                    assert_eq!(response.status, 503);
+                    assert!(sent.elapsed() < time::Duration::from_secs(1), "held");
+                    let retry_after_s: f64 = response
+                        .header("retry-after")
+                        .and_then(|value| value.parse().ok())
+                        .expect("a time to come back");
+                    assert!((0.5..=4.0).contains(&retry_after_s), "{retry_after_s} s");
+                }
+                tokio::time::sleep(CALLER_PAUSE).await;
+            }
+            served
+        });
+    }
+    let served: usize = callers.join_all().await.into_iter().sum();
+    println!("{served} of 100 requests served");
+    assert!(served >= 60, "{served} of 100 requests served\n{}", fleet.log(0));
+    let most = most_requests_from_told_hosts(&server);
+    assert!(f64::from(most) <= allowed_requests("10"), "{most} requests in {WINDOW:?}");
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn load_comes_back_after_the_end_of_a_limit() {
+    let mut scenario = Scenario::start("/read/x", 2, 3).await;
+    scenario.limited.name_limit(Some("1.0"));
+    tokio::time::sleep(time::Duration::from_secs(3)).await;
+    scenario.limited.name_limit(None);
+    // At this limit a request goes out each second, and its response shows the end.
+    tokio::time::sleep(time::Duration::from_secs(4)).await;
+    let before = scenario.limited.arrivals().len();
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    let requests = scenario.limited.arrivals().len() - before;
+    scenario.finish().await;
+    assert!(requests > 50, "{requests} requests in 2 s\n{}", scenario.fleet.log(0));
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn host_hears_of_a_limit_from_another_host() {
+    let server = backend::Backend::start("s-1", Behaviour::Respond).await;
+    let fleet = GatewayFleet::start(2, &[("desk", &server)]).await;
+    server.name_limit(Some("1.0"));
+    fleet.send(0, "GET", "/read/x", &[]).await;
+    let has_heard = async || fleet.log(1).contains("limit of a server");
+    fleet.wait_for("the other host to hear of the limit", has_heard).await;
+    assert_eq!(server.arrivals().len(), 1);
+}
+
+#[rstest]
+#[case::negative("-1")]
+#[case::not_a_number("nan")]
+#[case::exponent("1e3")]
+#[case::empty("")]
+#[case::word("none")]
+#[case::no_server_reaches_it(&"9".repeat(400))]
+#[tokio::test(flavor = "multi_thread")]
+async fn value_without_a_meaning_limits_nothing(#[case] value: &str) {
+    let server = backend::Backend::start("s-1", Behaviour::Respond).await;
+    let fleet = GatewayFleet::start(1, &[("desk", &server)]).await;
+    server.name_limit(Some(value));
+    for _ in 0..30 {
+        let response = fleet.send(0, "GET", "/read/x", &[]).await.expect("a response");
+        assert_eq!(response.status, 200, "{}", fleet.log(0));
+    }
+}
+
+#[rstest]
+#[case::zero("0")]
+#[case::lowest_of_several("10, 0.05")]
+#[tokio::test(flavor = "multi_thread")]
+async fn server_with_a_very_low_limit_gets_a_rare_request(#[case] value: &str) {
+    let mut scenario = Scenario::start("/read/x", 2, 3).await;
+    scenario.limited.name_limit(Some(value));
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let before = scenario.limited.arrivals().len();
+    tokio::time::sleep(time::Duration::from_secs(8)).await;
+    let requests = scenario.limited.arrivals().len() - before;
+    scenario.finish().await;
+    assert!(requests <= 3, "{requests} requests in 8 s\n{}", scenario.fleet.log(0));
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn later_run_of_a_server_has_no_limit() {
+    let server = backend::Backend::start("s-1", Behaviour::Respond).await;
+    let fleet = GatewayFleet::start(1, &[]).await;
+    fleet.register_run("desk", &server, 1);
+    let is_served = async || {
+        fleet.send(0, "GET", "/read/x", &[]).await.is_some_and(|response| response.status == 200)
+    };
+    fleet.wait_for("the server to be known", is_served).await;
+    server.name_limit(Some("0"));
+    is_served().await;
+    assert!(!is_served().await, "{}", fleet.log(0));
+    server.name_limit(None);
+    fleet.register_run("desk", &server, 2);
+    fleet.wait_for("the later run to be used", is_served).await;
+}
