--- a/crates/daemon/tests/rollouts.rs
+++ b/crates/daemon/tests/rollouts.rs
@@ -73,11 +73,12 @@
     assert_eq!(state(&fleet), "in_progress", "{}", fleet.log(0));
 }
 
-/// A pause ends, so it changes nothing about who may run which version.
+/// A pause ends, and so does a limit: neither changes anything about who may run which version.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_not_moved_to_another_version_while_the_servers_of_theirs_pause(
     #[values(true, false)] has_session: bool,
+    #[values(true, false)] names_limit: bool,
 ) {
     let old = backend::Backend::start("s-1", backend::Behaviour::Respond).await;
     let new = new_servers(backend::Behaviour::Respond).await;
@@ -87,13 +88,27 @@
     let target_runs = || new[0].executed().len() + new[1].executed().len();
     let moved = async || {
         let before = target_runs();
-        for _ in 0..EARLIER_REQUESTS {
-            fleet.send(0, "GET", "/read/x", headers).await.expect("a response");
+        if names_limit {
+            // Together, since requests that wait for a permit one after the other would outlast the
+            // first half of the roll-out.
+            let send = |number| {
+                let id = format!("moved-{before}-{number}");
+                fleet.prepare_request_with(0, "GET", "/read/x", &id, headers).send()
+            };
+            futures_util::future::join_all((0..EARLIER_REQUESTS).map(send)).await;
+        } else {
+            for _ in 0..EARLIER_REQUESTS {
+                fleet.send(0, "GET", "/read/x", headers).await.expect("a response");
+            }
         }
         target_runs() - before
     };
     let usual = moved().await;
-    old.pause(time::Duration::from_secs(5));
+    if names_limit {
+        old.name_limit(Some("0.1"));
+    } else {
+        old.pause(time::Duration::from_secs(5));
+    }
     let during_pause = moved().await;
     let exposed = EARLIER_REQUESTS / 4;
     assert!(usual < exposed && during_pause < exposed, "{usual}, {during_pause}\n{}", fleet.log(0));
@@ -104,12 +119,18 @@
 
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
-async fn request_without_a_session_is_served_by_the_old_version_while_the_new_one_pauses() {
+async fn request_without_a_session_is_served_by_the_old_version_while_the_new_one_pauses(
+    #[values(true, false)] names_limit: bool,
+) {
     let old = backend::Backend::start("s-1", backend::Behaviour::Respond).await;
     let new = new_servers(backend::Behaviour::Respond).await;
     let fleet = start(&old, &new).await;
     for server in &new {
-        server.pause(time::Duration::from_secs(5));
+        if names_limit {
+            server.name_limit(Some("0"));
+        } else {
+            server.pause(time::Duration::from_secs(5));
+        }
     }
     let mut ids = gateway_fleet::canary_request_ids();
     // The first request may be declined by both of the new servers.
