--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -545,6 +545,11 @@
             Fault::Terminate(host) => {
                 self.fleet.read().await.signal(host, "-TERM");
                 let until = tokio::time::Instant::now() + GRACE_PERIOD;
+                // Further signals change nothing.
+                for signal in ["-HUP", "-TERM"] {
+                    tokio::time::sleep(duration / 4).await;
+                    self.fleet.read().await.signal(host, signal);
+                }
                 while !self.fleet.write().await.has_exited(host)
                     && tokio::time::Instant::now() < until
                 {
