--- a/crates/policy/src/server_limits/mod.rs
+++ b/crates/policy/src/server_limits/mod.rs
@@ -11,8 +11,10 @@
 //! A limit is in force until a response without one, to a request that was sent after the latest
 //! response with it. It says nothing about the server's health.
 
+mod demand;
 mod issuer;
 mod message;
+mod named_limit;
 mod rate;
 
 use std::collections;
@@ -25,30 +27,22 @@
 
 use crate::server_run;
 
+pub use demand::Permit;
 pub use message::Body;
 pub use message::Message;
 pub use message::Observation;
 pub use message::PermitRequest;
 pub use message::Permits;
+pub use named_limit::Change;
 pub use rate::Rate;
 
 /// Number of hosts that issue permits for a server: with a second one, requests go on when the first
 /// is lost.
 const ISSUERS: usize = 2;
-/// Time after a permit was asked for in which it can be used, in milliseconds.
-const PERMIT_TTL_MS: u64 = 1_000;
 /// Part of a limit that is issued while hosts may disagree on who the issuers are, in percent.
 const UNSETTLED_PERCENT: u64 = 58;
 /// Lowest rate at which permits are issued: at a lower limit nobody would learn of its end.
 const MIN_RATE: rate::Rate = rate::Rate::from_per_1000_s(100);
-/// Time between two requests for permits for a server, in milliseconds; doubles up to
-/// [`MAX_REQUEST_INTERVAL_MS`] with each one that yields nothing.
-const REQUEST_INTERVAL_MS: u64 = 100;
-/// Longest time between two requests for permits, in milliseconds.
-const MAX_REQUEST_INTERVAL_MS: u64 = 400;
-/// Longest time after the latest request for a server in which permits are asked for, in
-/// milliseconds.
-const DEMAND_TTL_MS: u64 = 200;
 /// Hosts that a host tells when it learns that a server names a limit, or no longer does; each of them
 /// does the same.
 const TOLD_HOSTS: usize = 3;
@@ -68,64 +62,13 @@
     hosts: Vec<name::HostName>,
     hosts_changed_ms: u64,
     has_silent_hosts: bool,
-    limits: collections::BTreeMap<name::ServerId, Limit>,
+    limits: collections::BTreeMap<name::ServerId, named_limit::Limit>,
     /// Receivers, servers and bodies of messages to send; the rest says what is known when they are sent.
     outbox: Vec<(name::HostName, name::ServerId, Body)>,
     next_number: u64,
     rng: rand_chacha::ChaCha8Rng,
 }
 
-/// The limit of one run of a server.
-#[derive(Debug)]
-struct Limit {
-    run: server_run::ServerRun,
-    /// The limit; `None` after it has ended.
-    rate: Option<Rate>,
-    /// When the latest response was received that names the limit, in milliseconds.
-    named_ms: u64,
-    /// When the request of that response was sent, in milliseconds.
-    named_sent_ms: u64,
-    /// When the request was sent whose response ended or raised the limit, in milliseconds: responses
-    /// received before then show an earlier state.
-    since_ms: u64,
-    issuer: Option<issuer::Issuer>,
-    permits: Vec<Permit>,
-    demand: Demand,
-    last_known_ms: u64,
-}
-
-/// A host's demand for permits for a server.
-#[derive(Debug, Default)]
-struct Demand {
-    /// Requests that have found no permit since the latest request for permits.
-    wanted: u32,
-    /// Highest urgency among them.
-    priority: u32,
-    latest_ms: u64,
-    /// Permit requests that may still yield permits.
-    requests: Vec<OpenRequest>,
-    next_request_ms: u64,
-    /// Permit requests in a row that have yielded nothing.
-    unanswered: u32,
-}
-
-/// A permit request that may still yield permits.
-#[derive(Debug)]
-struct OpenRequest {
-    issuer: name::HostName,
-    number: u64,
-    wanted: u32,
-    received: u32,
-    sent_ms: u64,
-}
-
-/// Allows one request to be sent to a limited server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Permit {
-    /// When the permit expires, in milliseconds.
-    expires_ms: u64,
-}
-
 /// Whether a request may be sent to a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Availability {
@@ -140,21 +83,6 @@
     Exhausted,
 }
 
-/// What an observation changes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Change {
-    /// The server had no limit.
-    Begun,
-    /// The server had a lower limit.
-    Raised,
-    /// The server had a higher limit.
-    Lowered,
-    /// The server names a limit no longer.
-    Ended,
-    /// Nothing, or the observation is out of date.
-    Unchanged,
-}
-
 impl ServerLimits {
     /// Creates the limits of a host that knows of none. Views of the registered hosts count as the same
     /// `settling_ms` after a change.
@@ -275,7 +203,7 @@
         let Some(limit) = self.limits.get_mut(id) else { return };
         let Some(rate) = limit.rate else { return };
         let demand = &mut limit.demand;
-        demand.record(priority, most_useful_permits(rate), now_ms);
+        demand.record(priority, demand::most_useful_permits(rate), now_ms);
         let priority = demand.priority;
         if let Some(issuer) = &mut limit.issuer {
             let (number, wanted) = (self.next_number, demand.wanted);
@@ -291,11 +219,11 @@
     #[must_use]
     pub fn max_waiting(&self, id: &name::ServerId) -> usize {
         match self.limits.get(id) {
-            Some(Limit { rate: Some(rate), demand, .. }) if demand.unanswered <= 1 => {
-                usize::try_from(most_useful_permits(*rate)).unwrap_or(usize::MAX)
+            Some(named_limit::Limit { rate: Some(rate), demand, .. }) if demand.unanswered <= 1 => {
+                usize::try_from(demand::most_useful_permits(*rate)).unwrap_or(usize::MAX)
             }
-            Some(Limit { rate: Some(_), .. }) => 1,
-            Some(Limit { rate: None, .. }) | None => 0,
+            Some(named_limit::Limit { rate: Some(_), .. }) => 1,
+            Some(named_limit::Limit { rate: None, .. }) | None => 0,
         }
     }
 
@@ -339,7 +267,7 @@
             return Some(now_ms);
         }
         let is_settled = self.is_settled(now_ms);
-        let due_ms = |limit: &Limit| {
+        let due_ms = |limit: &named_limit::Limit| {
             let rate = self.part_of_issuer(limit.rate?, is_settled);
             let issue_ms = limit.issuer.as_ref().and_then(|it| it.next_due_ms(rate, now_ms));
             let demand = &limit.demand;
@@ -366,7 +294,7 @@
     }
 
     /// The limit of this run of a server while one is in force.
-    fn limit_mut(&mut self, server: &server::BackendServer) -> Option<&mut Limit> {
+    fn limit_mut(&mut self, server: &server::BackendServer) -> Option<&mut named_limit::Limit> {
         let run = server_run::ServerRun::of(server);
         let limit = self.limits.get_mut(&server.id)?;
         (limit.rate.is_some() && !run.is_later_than(limit.run)).then_some(limit)
@@ -381,9 +309,10 @@
         received_ms: u64,
         now_ms: u64,
     ) -> Change {
-        let limit = self.limits.entry(id.clone()).or_insert_with(|| Limit::new(run, now_ms));
+        let limit =
+            self.limits.entry(id.clone()).or_insert_with(|| named_limit::Limit::new(run, now_ms));
         if run.is_later_than(limit.run) {
-            *limit = Limit::new(run, now_ms);
+            *limit = named_limit::Limit::new(run, now_ms);
         } else if limit.run != run {
             return Change::Unchanged;
         }
@@ -442,7 +371,7 @@
             return;
         }
         demand.unanswered = demand.unanswered.saturating_add(1);
-        demand.next_request_ms = now_ms + request_interval_ms(demand.unanswered);
+        demand.next_request_ms = now_ms + demand::request_interval_ms(demand.unanswered);
         let (wanted, priority) = (demand.wanted, demand.priority);
         let number = self.next_number;
         self.next_number += 1;
@@ -467,140 +396,6 @@
     }
 }
 
-impl Limit {
-    fn new(run: server_run::ServerRun, now_ms: u64) -> Self {
-        Self {
-            run,
-            rate: None,
-            named_ms: 0,
-            named_sent_ms: 0,
-            since_ms: 0,
-            issuer: None,
-            permits: Vec::new(),
-            demand: Demand::default(),
-            last_known_ms: now_ms,
-        }
-    }
-
-    /// Records what a response says. A lower limit takes effect at once; a higher one, or none, only if
-    /// the request was sent after the lower one was last named.
-    fn observe(&mut self, rate: Option<Rate>, sent_ms: u64, received_ms: u64) -> Change {
-        if received_ms < self.since_ms {
-            return Change::Unchanged;
-        }
-        let is_later = sent_ms >= self.named_ms;
-        let change = match (self.rate, rate) {
-            (None, Some(_)) => Change::Begun,
-            (Some(_), None) if is_later => Change::Ended,
-            (Some(known), Some(named)) if named > known && is_later => Change::Raised,
-            (Some(known), Some(named)) if named < known => Change::Lowered,
-            (Some(known), Some(named)) if named == known => Change::Unchanged,
-            (Some(_) | None, _) => return Change::Unchanged,
-        };
-        self.rate = rate;
-        if matches!(change, Change::Ended | Change::Raised) {
-            self.since_ms = sent_ms;
-        }
-        if rate.is_some() {
-            self.named_ms = self.named_ms.max(received_ms);
-            self.named_sent_ms = self.named_sent_ms.max(sent_ms);
-        } else {
-            self.issuer = None;
-            self.permits.clear();
-            self.demand = Demand::default();
-        }
-        change
-    }
-
-    /// Makes this host an issuer, or no longer.
-    fn update_role(&mut self, is_issuer: bool, now_ms: u64) {
-        if !is_issuer || self.rate.is_none() {
-            self.issuer = None;
-        } else if self.issuer.is_none() {
-            self.issuer = Some(issuer::Issuer::new(now_ms));
-        }
-    }
-
-    fn valid_permits(&self, now_ms: u64) -> usize {
-        self.permits.iter().filter(|permit| permit.is_valid(now_ms)).count()
-    }
-
-    /// Adds the permits that have been issued on a request and not been received before. They are valid
-    /// from the time of the request, so that a delayed message extends nothing.
-    fn receive_permits(&mut self, issuer: &name::HostName, permits: Permits, now_ms: u64) {
-        let Permits { number, issued } = permits;
-        let open = self.demand.requests.iter_mut().find(|open| {
-            open.issuer == *issuer && open.number == number && now_ms < open.expires_ms()
-        });
-        let Some(open) = open else { return };
-        let new = issued.min(open.wanted).saturating_sub(open.received);
-        open.received += new;
-        let expires_ms = open.expires_ms();
-        if new > 0 {
-            self.demand.wanted = self.demand.wanted.saturating_sub(new);
-            self.demand.unanswered = 0;
-            self.demand.next_request_ms =
-                self.demand.next_request_ms.min(now_ms + REQUEST_INTERVAL_MS);
-        }
-        let new = usize::try_from(new).unwrap_or(0);
-        self.permits.extend(std::iter::repeat_n(Permit { expires_ms }, new));
-        self.permits.sort_by_key(|permit| permit.expires_ms);
-    }
-
-    fn message(&self, id: &name::ServerId, body: Body, now_ms: u64) -> Message {
-        let (received_ms, sent_ms) = match self.rate {
-            Some(_) => (self.named_ms, self.named_sent_ms),
-            None => (self.since_ms, self.since_ms),
-        };
-        let observation = Observation {
-            limit: self.rate,
-            received_age_ms: now_ms.saturating_sub(received_ms),
-            sent_age_ms: now_ms.saturating_sub(sent_ms),
-        };
-        Message { server: id.clone(), run: self.run, observation, body }
-    }
-}
-
-impl Demand {
-    /// Whether requests have lately found no permit.
-    fn is_current(&self, now_ms: u64) -> bool {
-        self.wanted > 0 && now_ms < self.latest_ms + DEMAND_TTL_MS
-    }
-
-    /// Records a request that has found no permit.
-    fn record(&mut self, priority: u32, max_wanted: u32, now_ms: u64) {
-        if !self.is_current(now_ms) {
-            self.wanted = 0;
-            self.priority = priority;
-        }
-        if now_ms >= self.next_request_ms + MAX_REQUEST_INTERVAL_MS {
-            self.unanswered = 0;
-        }
-        self.wanted = self.wanted.saturating_add(1).min(max_wanted);
-        self.priority = self.priority.min(priority);
-        self.latest_ms = now_ms;
-    }
-
-    fn add_request(&mut self, issuer: name::HostName, number: u64, wanted: u32, now_ms: u64) {
-        self.requests.retain(|open| now_ms < open.expires_ms());
-        self.requests.push(OpenRequest { issuer, number, wanted, received: 0, sent_ms: now_ms });
-    }
-}
-
-impl OpenRequest {
-    fn expires_ms(&self) -> u64 {
-        self.sent_ms + PERMIT_TTL_MS
-    }
-}
-
-impl Permit {
-    /// Whether the permit can still be used.
-    #[must_use]
-    pub fn is_valid(&self, now_ms: u64) -> bool {
-        now_ms < self.expires_ms
-    }
-}
-
 /// The hosts that issue permits for a server, in the view of one host.
 fn issuers(hosts: &[name::HostName], id: &name::ServerId) -> Vec<name::HostName> {
     let key = xxh3::xxh3_64(id.as_str().as_bytes());
@@ -615,14 +410,3 @@
 fn is_issuer(hosts: &[name::HostName], own_name: &name::HostName, id: &name::ServerId) -> bool {
     issuers(hosts, id).contains(own_name)
 }
-
-/// Number of permits that a host can use before they expire at a limit.
-fn most_useful_permits(rate: Rate) -> u32 {
-    u32::try_from(rate.per_1000_s().saturating_mul(PERMIT_TTL_MS) / 1_000_000 + 1)
-        .unwrap_or(u32::MAX)
-}
-
-fn request_interval_ms(unanswered: u32) -> u64 {
-    let doublings = unanswered.saturating_sub(1).min(16);
-    (REQUEST_INTERVAL_MS << doublings).min(MAX_REQUEST_INTERVAL_MS)
-}
