--- a/crates/policy/src/server_limits/named_limit.rs
+++ b/crates/policy/src/server_limits/named_limit.rs
@@ -115,9 +115,8 @@
         now_ms: u64,
     ) {
         let message::Permits { number, issued } = permits;
-        let open = self.demand.requests.iter_mut().find(|open| {
-            open.issuer == *issuer && open.number == number && now_ms < open.expires_ms()
-        });
+        let requests = &mut self.demand.requests;
+        let open = requests.iter_mut().find(|it| it.issuer == *issuer && it.number == number);
         let Some(open) = open else { return };
         let new = issued.min(open.wanted).saturating_sub(open.received);
         open.received += new;
--- a/crates/policy/tests/server_limits.rs
+++ b/crates/policy/tests/server_limits.rs
@@ -344,3 +344,146 @@
     assert!(told >= 90, "{told} of 100 hosts know of the limit");
     assert!(sent <= 500, "{sent} messages");
 }
+
+/// A message in which a host asks for a permit.
+fn permit_request(number: u64, priority: u32) -> server_limits::Message {
+    server_limits::Message {
+        server: server_run(1).id,
+        run: toucanwall_policy::server_run::ServerRun::of(&server_run(1)),
+        observation: server_limits::Observation {
+            limit: Some(per_s(2)),
+            received_age_ms: 0,
+            sent_age_ms: 10,
+        },
+        body: Body::PermitRequest(server_limits::PermitRequest { number, wanted: 1, priority }),
+    }
+}
+
+/// An issuer among three hosts that know of a limit, and the names of the others.
+fn issuer_of_three() -> (ServerLimits, Vec<name::HostName>) {
+    let mut names = host_names(3);
+    for (number, mut limits) in hosts(3).into_iter().enumerate() {
+        limits.record_response(&server_run(1), Some(per_s(2)), SETTLED_MS, SETTLED_MS);
+        limits.take_messages(SETTLED_MS);
+        if limits.is_issuer(&server_run(1).id) {
+            names.remove(number);
+            return (limits, names);
+        }
+    }
+    panic!("no host is an issuer");
+}
+
+fn hosts_with_permits(
+    messages: &[(name::HostName, server_limits::Message)],
+) -> Vec<name::HostName> {
+    let permits = messages.iter().filter(|(_, it)| matches!(it.body, Body::Permits(_)));
+    permits.map(|(host, _)| host.clone()).collect()
+}
+
+#[rstest]
+#[case::urgent_first((0, 0), (2, 5), 0)]
+#[case::urgent_first_though_earlier((0, 0), (1, 20), 0)]
+#[case::latest_of_the_same_priority((1, 0), (1, 20), 1)]
+fn most_urgent_and_then_latest_request_gets_the_permit(
+    #[case] first: (u32, u64),
+    #[case] second: (u32, u64),
+    #[case] expected: usize,
+) {
+    let (mut issuer, others) = issuer_of_three();
+    // The permit that has accrued goes to a request before.
+    let now_ms = SETTLED_MS + 5_000;
+    issuer.receive(&others[0], &permit_request(1, 1), now_ms);
+    issuer.take_messages(now_ms);
+    let now_ms = now_ms + 900;
+    issuer.receive(&others[0], &permit_request(2, first.0), now_ms + first.1);
+    issuer.receive(&others[1], &permit_request(2, second.0), now_ms + second.1);
+    let messages = issuer.take_messages(now_ms + 60);
+    assert_eq!(hosts_with_permits(&messages), [others[expected].clone()]);
+}
+
+#[rstest]
+fn request_that_has_gone_elsewhere_gets_no_permit() {
+    let (mut issuer, others) = issuer_of_three();
+    issuer.receive(&others[0], &permit_request(1, 1), SETTLED_MS + 10);
+    let messages = issuer.take_messages(SETTLED_MS + 2_000);
+    assert_eq!(hosts_with_permits(&messages), []);
+}
+
+#[rstest]
+fn host_that_is_not_registered_issues_nothing() {
+    let (mut issuer, others) = issuer_of_three();
+    issuer.set_hosts(others.clone(), false, SETTLED_MS + 5_000);
+    assert!(!issuer.is_issuer(&server_run(1).id));
+    issuer.receive(&others[0], &permit_request(1, 1), SETTLED_MS + 9_000);
+    let messages = issuer.take_messages(SETTLED_MS + 9_000);
+    assert_eq!(hosts_with_permits(&messages), []);
+}
+
+#[rstest]
+fn old_news_is_not_passed_on() {
+    let mut limits = hosts(9).remove(0);
+    let mut message = permit_request(1, 1);
+    message.observation.received_age_ms = 5_000;
+    limits.receive(&host_names(9)[1], &message, SETTLED_MS);
+    assert_eq!(limits.rate(&server_run(1).id), Some(per_s(2)));
+    let messages = limits.take_messages(SETTLED_MS);
+    assert!(messages.iter().all(|(_, it)| it.body != Body::Notice), "{messages:?}");
+}
+
+/// Only a few requests wait, and a single one once permit requests yield nothing.
+#[rstest]
+fn requests_wait_only_with_a_prospect() {
+    let mut limits = hosts(3).remove(0);
+    let id = server_run(1).id;
+    assert_eq!(limits.max_waiting(&id), 0);
+    limits.record_response(&server_run(1), Some(per_s(4)), SETTLED_MS, SETTLED_MS);
+    assert_eq!(limits.max_waiting(&id), 5);
+    for now_ms in (SETTLED_MS..SETTLED_MS + 220).step_by(10) {
+        limits.record_demand(&id, 1, now_ms);
+        limits.take_messages(now_ms);
+    }
+    assert_eq!(limits.max_waiting(&id), 1);
+}
+
+/// A host that gets nothing asks less and less often, and again at once after a permit.
+#[rstest]
+fn host_asks_less_often_while_it_gets_nothing() {
+    let mut limits = hosts(3).remove(0);
+    let id = server_run(1).id;
+    limits.record_response(&server_run(1), Some(per_s(1)), SETTLED_MS, SETTLED_MS);
+    let mut asked_ms = std::collections::BTreeSet::new();
+    for now_ms in SETTLED_MS..SETTLED_MS + 900 {
+        limits.record_demand(&id, 1, now_ms);
+        let messages = limits.take_messages(now_ms);
+        if messages.iter().any(|(_, it)| matches!(it.body, Body::PermitRequest(_))) {
+            asked_ms.insert(now_ms - SETTLED_MS);
+        }
+    }
+    assert_eq!(asked_ms.into_iter().collect::<Vec<_>>(), [0, 100, 300, 700]);
+}
+
+#[rstest]
+fn permits_that_have_been_received_are_not_asked_for_again() {
+    let mut limits = told_host(per_s(10));
+    let id = server_run(1).id;
+    let now_ms = SETTLED_MS + 1_000;
+    limits.record_demand(&id, 1, now_ms);
+    assert_eq!(limits.availability(&server_run(1), now_ms), Availability::Permitted { permits: 1 });
+    // The demand has been met, so a second permit that accrues is not issued.
+    assert_eq!(
+        limits.availability(&server_run(1), now_ms + 110),
+        Availability::Permitted { permits: 1 }
+    );
+}
+
+#[rstest]
+fn permits_are_void_after_the_end_of_a_limit() {
+    let mut limits = told_host(per_s(10));
+    let server = server_run(1);
+    let now_ms = SETTLED_MS + 1_000;
+    limits.record_demand(&server.id, 1, now_ms);
+    limits.record_response(&server, None, now_ms, now_ms);
+    assert_eq!(limits.availability(&server, now_ms), Availability::Unlimited);
+    limits.record_response(&server, Some(per_s(10)), now_ms, now_ms);
+    assert_eq!(limits.availability(&server, now_ms), Availability::Exhausted);
+}
