--- a/crates/policy/tests/server_limits.rs
+++ b/crates/policy/tests/server_limits.rs
@@ -359,6 +359,15 @@
     }
 }
 
+/// The message that issues a permit on a request.
+fn permits_for(request: &server_limits::Message) -> server_limits::Message {
+    let Body::PermitRequest(server_limits::PermitRequest { number, .. }) = request.body else {
+        panic!("not a permit request: {request:?}");
+    };
+    let body = Body::Permits(server_limits::Permits { number, issued: 1 });
+    server_limits::Message { body, ..request.clone() }
+}
+
 /// An issuer among three hosts that know of a limit, and the names of the others.
 fn issuer_of_three() -> (ServerLimits, Vec<name::HostName>) {
     let mut names = host_names(3);
@@ -464,16 +473,19 @@
 
 #[rstest]
 fn permits_that_have_been_received_are_not_asked_for_again() {
-    let mut limits = told_host(per_s(10));
+    let mut limits = hosts(3).remove(0);
     let id = server_run(1).id;
-    let now_ms = SETTLED_MS + 1_000;
-    limits.record_demand(&id, 1, now_ms);
-    assert_eq!(limits.availability(&server_run(1), now_ms), Availability::Permitted { permits: 1 });
-    // The demand has been met, so a second permit that accrues is not issued.
-    assert_eq!(
-        limits.availability(&server_run(1), now_ms + 110),
-        Availability::Permitted { permits: 1 }
-    );
+    limits.record_response(&server_run(1), Some(per_s(1)), SETTLED_MS, SETTLED_MS);
+    limits.record_demand(&id, 1, SETTLED_MS);
+    let mut messages = limits.take_messages(SETTLED_MS);
+    messages.retain(|(_, it)| matches!(it.body, Body::PermitRequest(_)));
+    let (issuer, request) = messages.remove(0);
+    limits.receive(&issuer, &permits_for(&request), SETTLED_MS + 10);
+    for now_ms in SETTLED_MS + 10..SETTLED_MS + 190 {
+        let messages = limits.take_messages(now_ms);
+        let mut bodies = messages.iter().map(|(_, message)| message.body);
+        assert!(!bodies.any(|body| matches!(body, Body::PermitRequest(_))));
+    }
 }
 
 #[rstest]
@@ -487,3 +499,25 @@
     limits.record_response(&server, Some(per_s(10)), now_ms, now_ms);
     assert_eq!(limits.availability(&server, now_ms), Availability::Exhausted);
 }
+
+#[rstest]
+fn host_asks_as_often_as_before_once_it_gets_a_permit() {
+    let mut limits = hosts(3).remove(0);
+    let id = server_run(1).id;
+    limits.record_response(&server_run(1), Some(per_s(1)), SETTLED_MS, SETTLED_MS);
+    let mut asked_ms = std::collections::BTreeSet::new();
+    let mut asked = None;
+    for now_ms in SETTLED_MS..SETTLED_MS + 400 {
+        limits.record_demand(&id, 1, now_ms);
+        for (issuer, message) in limits.take_messages(now_ms) {
+            if matches!(message.body, Body::PermitRequest(_)) {
+                asked_ms.insert(now_ms - SETTLED_MS);
+                asked = Some((issuer, message));
+            }
+        }
+        if let Some((issuer, request)) = asked.take_if(|_| now_ms == SETTLED_MS + 150) {
+            limits.receive(&issuer, &permits_for(&request), now_ms);
+        }
+    }
+    assert_eq!(asked_ms.into_iter().collect::<Vec<_>>(), [0, 100, 250, 350]);
+}
