--- a/crates/daemon/tests/limited_servers.rs
+++ b/crates/daemon/tests/limited_servers.rs
@@ -216,6 +216,13 @@
 async fn host_hears_of_a_limit_from_another_host() {
     let server = backend::Backend::start("s-1", Behaviour::Respond).await;
     let fleet = GatewayFleet::start(2, &[("desk", &server)]).await;
+    for (host, other) in [(0, 1), (1, 0)] {
+        let address = fleet.caller_address(other).to_string();
+        let is_known = async || {
+            fleet.resolve(host).await.is_some_and(|response| response.body.contains(&address))
+        };
+        fleet.wait_for("the hosts to know each other", is_known).await;
+    }
     server.name_limit(Some("1.0"));
     fleet.send(0, "GET", "/read/x", &[]).await;
     let has_heard = async || fleet.log(1).contains("limit of a server");
@@ -273,3 +280,37 @@
     fleet.register_run("desk", &server, 2);
     fleet.wait_for("the later run to be used", is_served).await;
 }
+
+/// While all servers are at their limits, permits go to the most urgent of the requests that wait.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn urgent_requests_are_served_first() {
+    const CALLERS: usize = 6;
+    let server = backend::Backend::start("s-1", Behaviour::Respond).await;
+    let mut fleet = GatewayFleet::prepare().await;
+    let mut configuration = gateway_fleet::configuration(2);
+    configuration["routes"][0]["priority"] = 3.into();
+    configuration["routes"][1]["priority"] = 0.into();
+    fleet.store.put("config", "main", &configuration);
+    fleet.register("desk", &server, "ready");
+    fleet.add_ready_host().await;
+    let fleet = Arc::new(fleet);
+    server.name_limit(Some("5"));
+    let is_finished = Arc::new(atomic::AtomicBool::new(false));
+    let run = |path: &'static str| {
+        let mut callers = tokio::task::JoinSet::new();
+        for caller in 0..CALLERS {
+            let caller = caller + if path == "/book/x" { CALLERS } else { 0 };
+            let (fleet, is_finished) = (Arc::clone(&fleet), Arc::clone(&is_finished));
+            callers.spawn(run_caller(fleet, 0, caller, path, is_finished));
+        }
+        callers
+    };
+    let (others, urgent) = (run("/read/x"), run("/book/x"));
+    tokio::time::sleep(LIMITED_TIME).await;
+    is_finished.store(true, atomic::Ordering::SeqCst);
+    let others: usize = others.join_all().await.into_iter().sum();
+    let urgent: usize = urgent.join_all().await.into_iter().sum();
+    println!("{urgent} urgent and {others} other requests served");
+    assert!(urgent > 3 * others, "{urgent} urgent and {others} others\n{}", fleet.log(0));
+}
--- a/crates/daemon/tests/paused_servers.rs
+++ b/crates/daemon/tests/paused_servers.rs
@@ -292,14 +292,23 @@
     scenario.assert_pauses_are_kept();
 }
 
-/// A request chooses its server and then opens a connection; meanwhile the server asks for a pause or
-/// says that it leaves.
+/// Why a server stops accepting requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reason {
+    Pause,
+    Leaving,
+    Limit,
+}
+
+/// A request chooses its server and then opens a connection; meanwhile the server asks for a pause,
+/// says that it leaves, or names a limit.
 #[rstest]
-#[case::pause(false)]
-#[case::leaving(true)]
+#[case::pause(Reason::Pause)]
+#[case::leaving(Reason::Leaving)]
+#[case::limit(Reason::Limit)]
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_is_connecting_when_its_server_stops_accepting_goes_elsewhere(
-    #[case] leaves: bool,
+    #[case] reason: Reason,
 ) {
     const CALLERS: usize = 16;
     let request = |id: &str| {
@@ -319,17 +328,22 @@
     }
     // One of the servers is asked, and answers while the host stands still.
     for server in [&scenario.paused, &scenario.other] {
-        let response = if leaves {
-            server.announce_leaving(true);
-            Behaviour::RespondAfter(PROMPT)
-        } else {
-            Behaviour::AskForPause(backend::PauseResponse {
+        match reason {
+            Reason::Pause => server.enqueue([Behaviour::AskForPause(backend::PauseResponse {
                 retry_after: PAUSE.to_owned(),
                 delay: PROMPT,
                 form: PauseForm::Declined,
-            })
-        };
-        server.enqueue([response]);
+            })]),
+            Reason::Leaving => {
+                server.announce_leaving(true);
+                server.enqueue([Behaviour::RespondAfter(PROMPT)]);
+            }
+            // The other server's limit is named in a response that comes later than the requests.
+            Reason::Limit => {
+                server.name_limit(Some("0"));
+                server.enqueue([Behaviour::RespondAfter(PROMPT)]);
+            }
+        }
     }
     let asked = scenario.fleet.prepare_request(0, "POST", "/book/x", "asked");
     let asked = tokio::spawn(asked.send());
