--- a/crates/daemon/tests/limited_servers.rs
+++ b/crates/daemon/tests/limited_servers.rs
@@ -314,3 +314,47 @@
     println!("{urgent} urgent and {others} other requests served");
     assert!(urgent > 3 * others, "{urgent} urgent and {others} others\n{}", fleet.log(0));
 }
+
+/// Responses that may come from another server or answer another request end no limit.
+#[rstest]
+#[case::without_seal(Behaviour::MissingSeal)]
+#[case::of_another_attempt(Behaviour::WrongAttemptId)]
+#[case::without_an_id(Behaviour::MissingAttemptId)]
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_ends_only_with_a_response_that_is_certainly_its_servers(
+    #[case] behaviour: Behaviour,
+) {
+    let server = backend::Backend::start("s-1", Behaviour::Respond).await;
+    let fleet = GatewayFleet::start(1, &[("desk", &server)]).await;
+    server.name_limit(Some("10"));
+    fleet.send(0, "GET", "/read/x", &[]).await.expect("a response");
+    server.name_limit(None);
+    server.enqueue([behaviour]);
+    let has_arrived = async |count: usize| {
+        fleet.send(0, "POST", "/book/x", &[]).await.expect("a response");
+        server.arrivals().len() == count
+    };
+    fleet.wait_for("the doubtful response", async || has_arrived(2).await).await;
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    assert!(!fleet.log(0).contains("\"Ended\""), "{}", fleet.log(0));
+    fleet.wait_for("a sealed response", async || has_arrived(3).await).await;
+    let has_ended = async || fleet.log(0).contains("\"Ended\"");
+    fleet.wait_for("the end of the limit", has_ended).await;
+}
+
+/// With 421 another server answers than the one that was asked.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_of_another_server_at_the_address_concerns_nobody() {
+    let server = backend::Backend::start("s-1", Behaviour::Respond).await;
+    let moved = backend::Backend::start("s-2", Behaviour::Respond).await;
+    let mut fleet = GatewayFleet::prepare().await;
+    fleet.store.put("config", "main", &gateway_fleet::configuration(2));
+    fleet.register_at("desk", &moved, server.address, "ready");
+    fleet.add_ready_host().await;
+    server.name_limit(Some("0"));
+    for _ in 0..3 {
+        fleet.send(0, "GET", "/read/x", &[]).await.expect("a response");
+    }
+    assert_eq!(server.arrivals().len(), 3, "{}", fleet.log(0));
+}
