--- a/crates/daemon/tests/planned_stop.rs
+++ b/crates/daemon/tests/planned_stop.rs
@@ -132,6 +132,8 @@
     assert!(head.contains(&length), "incomplete answer: {text:?}\n{}", fleet.log(0));
     let is_refused = head.starts_with("HTTP/1.1 503");
     assert!(!is_refused || server.executed().is_empty(), "refused and executed: {text:?}");
+    // The route's time-out of 4 s ends within the longest grace only, and nothing else is known.
+    assert_eq!(is_refused, grace_s <= 4, "{text:?}\n{}", fleet.log(0));
 }
 
 /// A request whose body is still being read when the host ends is refused.
@@ -171,3 +173,26 @@
     fleet.wait_for_exit(0).await;
     assert!(response.starts_with(b"HTTP/1.1 200 "), "{response:?}\n{}", fleet.log(0));
 }
+
+/// A request that was taken before the stop and outlasts it gets an answer that promises nothing.
+#[rstest]
+#[case::safe("/read/x")]
+#[case::unsafe_("/book/x")]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_outlasts_the_host_is_answered_at_the_end(#[case] path: &'static str) {
+    let behaviour = backend::Behaviour::RespondAfter(SLOW_RESPONSE);
+    let server = backend::Backend::start("s-1", behaviour).await;
+    let mut fleet = GatewayFleet::prepare().await;
+    fleet.grace_s = 1;
+    fleet.store.put("config", "main", &gateway_fleet::configuration(2));
+    fleet.register("desk", &server, "ready");
+    fleet.add_ready_host().await;
+    let response = tokio::spawn(send_slow(fleet.caller_address(0), path, "early"));
+    let is_taken = async || !server.executed().is_empty();
+    fleet.wait_for("the request to reach the server", is_taken).await;
+    fleet.signal(0, "-TERM");
+    let response = response.await.expect("the caller does not panic");
+    fleet.wait_for_exit(0).await;
+    let text = String::from_utf8_lossy(&response);
+    assert!(text.starts_with("HTTP/1.1 504 "), "{text:?}\n{}", fleet.log(0));
+}
