--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -49,6 +49,8 @@
 const BLOCK_DELAY_MAX_MS: u64 = 1_500;
 /// Interval at which expired crash reports are looked for, in milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 60_000;
+/// Longest time for which the control thread waits without messages about limits, in milliseconds.
+const MAX_LIMITS_WAIT_MS: u64 = 60_000;
 /// Time after which this host's entry is written again if the store has not shown it, in
 /// milliseconds: longer than a write and the batching delay for changes of hosts.
 const REREGISTER_AFTER_MS: u64 = 1_500;
@@ -216,11 +218,11 @@
         }
     }
 
-    /// When messages about limits are due, or in a minute at the latest.
+    /// When messages about limits are due, or the end of the longest wait without any.
     fn next_limits_due(&self) -> tokio::time::Instant {
         let now_ms = self.inputs.clock.now_ms();
         let due_ms = self.inputs.limits.next_due_ms(now_ms);
-        self.inputs.clock.instant_at(due_ms.unwrap_or(now_ms + EXPIRY_INTERVAL_MS))
+        self.inputs.clock.instant_at(due_ms.unwrap_or(now_ms + MAX_LIMITS_WAIT_MS))
     }
 
     /// Starts the change feed, which receives store events directly or through a relay.
