--- a/crates/daemon/tests/limited_servers.rs
+++ b/crates/daemon/tests/limited_servers.rs
@@ -358,3 +358,38 @@
     }
     assert_eq!(server.arrivals().len(), 3, "{}", fleet.log(0));
 }
+
+/// A further attempt of a request keeps a limit as the first one does.
+#[rstest]
+#[case::retry("/read/x", Behaviour::Fail)]
+#[case::resumption("/chat/x", Behaviour::TruncateStream { after: 2 })]
+#[case::escalation("/chat/x", Behaviour::LowConfidenceStream { last: LAST_EVENT })]
+#[tokio::test(flavor = "multi_thread")]
+async fn further_attempts_keep_the_limit(#[case] path: &str, #[case] first_attempt: Behaviour) {
+    const REQUESTS: usize = 30;
+    let is_stream = path.starts_with("/chat/");
+    let (service, method) = if is_stream { ("engines", "POST") } else { ("desk", "GET") };
+    let whole = if is_stream { Behaviour::Stream { last: LAST_EVENT } } else { Behaviour::Respond };
+    let limited = backend::Backend::start("s-1", whole.clone()).await;
+    let other = backend::Backend::start("s-2", first_attempt).await;
+    let mut fleet = GatewayFleet::prepare().await;
+    fleet.store.put("config", "main", &gateway_fleet::cascade_configuration(2));
+    fleet.register(service, &limited, "ready");
+    fleet.register(service, &other, "ready");
+    fleet.add_ready_host().await;
+    let model = [("x-toucanwall-model-name", "*"), ("x-toucanwall-token-count", "100,10")];
+    limited.name_limit(Some("0"));
+    let is_told = async || {
+        fleet.send(0, method, path, &model).await;
+        !limited.arrivals().is_empty()
+    };
+    fleet.wait_for("the host to be told", is_told).await;
+    let (limited_before, other_before) = (limited.arrivals().len(), other.arrivals().len());
+    for _ in 0..REQUESTS {
+        fleet.send(0, method, path, &model).await;
+    }
+    let sends = limited.arrivals().len() - limited_before;
+    println!("{sends} requests, {} at the other server", other.arrivals().len() - other_before);
+    assert!(other.arrivals().len() >= other_before + REQUESTS, "{}", fleet.log(0));
+    assert!(sends <= 3, "{sends} requests\n{}", fleet.log(0));
+}
