--- a/review/stand-ins/server.rs
+++ b/review/stand-ins/server.rs
@@ -89,11 +89,22 @@
     http::response(status, &headers, body)
 }
 
-/// The entry with which a server registers itself.
+/// The entry with which a server of version `v1` registers itself.
 pub fn entry(service: &str, address: SocketAddr, state: &str, born: u64) -> crate::json::Json {
+    entry_of(service, address, "v1", state, born)
+}
+
+/// The entry with which a server registers itself.
+pub fn entry_of(
+    service: &str,
+    address: SocketAddr,
+    version: &str,
+    state: &str,
+    born: u64,
+) -> crate::json::Json {
     let text = format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-1\",\
-         \"version\":\"v1\",\"slots\":8,\"state\":\"{state}\",\"cold_remaining_ms\":0,\
+         \"version\":\"{version}\",\"slots\":8,\"state\":\"{state}\",\"cold_remaining_ms\":0,\
          \"sequence\":1,\"born\":{born}}}"
     );
     crate::json::Json::parse(&text).expect("a valid entry")
--- a/review/stand-ins/store.rs
+++ b/review/stand-ins/store.rs
@@ -32,6 +32,8 @@
     /// Raised when all open connections are to be closed.
     epoch: u64,
     connections: Vec<TcpStream>,
+    /// Kind of which the answers to watches are lost.
+    lost_kind: Option<String>,
 }
 
 /// The store; clones share it.
@@ -48,7 +50,7 @@
         let address = listener.local_addr().expect("a bound address");
         let contents = Contents { revision: 1, ..Contents::default() };
         let state =
-            State { contents, era: 1, is_away: false, epoch: 0, connections: Vec::new() };
+            State { contents, era: 1, is_away: false, epoch: 0, connections: Vec::new(), lost_kind: None };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let store = Self { state, record: record.clone(), address };
         let acceptor = store.clone();
@@ -95,11 +97,23 @@
         self.lock().contents.objects.contains_key(&key(kind, name))
     }
 
+    /// The status of an object; null without one.
+    pub fn status(&self, kind: &str, name: &str) -> Json {
+        self.lock().contents.read(kind, name).1.get("status").clone()
+    }
+
     /// Takes a copy of all that the store holds.
     pub fn copy(&self) -> Contents {
         self.lock().contents.clone()
     }
 
+    /// Loses the answers to watches of a kind from now on, or no answers any more. A connection on
+    /// which an answer was lost returns nothing further.
+    pub fn lose_answers(&self, kind: Option<&str>) {
+        self.lock().lost_kind = kind.map(str::to_owned);
+        self.record.line(&format!("store: answers to watches that are lost: {kind:?}"));
+    }
+
     /// Goes away: closes all connections and refuses new ones.
     pub fn go_away(&self) {
         let mut state = self.lock();
@@ -157,6 +171,11 @@
             }
             drop(state);
             let Some((status, body)) = answer else { return };
+            if self.loses(&request, &body) {
+                self.record.line(&format!("store: the answer to {} is lost", request.target));
+                while connection.request().is_ok() {}
+                return;
+            }
             let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
             let body = body.to_string();
             if !connection.write(&http::response(status, &headers, body.as_bytes())) {
@@ -165,6 +184,13 @@
         }
     }
 
+    fn loses(&self, request: &http::Request, body: &Json) -> bool {
+        let state = self.lock();
+        let Some(kind) = &state.lost_kind else { return false };
+        let is_watch = request.target.starts_with(&format!("/objects/{kind}?watch="));
+        is_watch && matches!(body.get("events"), Json::List(events) if !events.is_empty())
+    }
+
     fn execute(&self, request: &http::Request, epoch: u64) -> Option<(u16, Json)> {
         let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
         let query: BTreeMap<&str, &str> =
