--- a/review/stand-ins/hosts.rs
+++ b/review/stand-ins/hosts.rs
@@ -38,6 +38,16 @@
     });
 }
 
+/// Lets a process be ended with those of the system.
+pub fn register(id: u32) {
+    running().push(id);
+}
+
+/// Forgets a process that has ended.
+pub fn forget(id: u32) {
+    running().retain(|it| *it != id);
+}
+
 fn running() -> MutexGuard<'static, Vec<u32>> {
     RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
@@ -95,8 +105,7 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let id = self.child.id();
-        running().retain(|it| *it != id);
+        forget(self.child.id());
     }
 
     /// Sends a signal, such as `-TERM`.
@@ -132,7 +141,7 @@
         .stderr(Stdio::null())
         .spawn()
         .expect("the program starts; build it first");
-    running().push(child.id());
+    register(child.id());
     child
 }
 
