--- a/review/stand-ins/hosts.rs
+++ b/review/stand-ins/hosts.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{self, Child, Command, Stdio};
+use std::process::{self, Child, Command};
 use std::sync::{Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -134,11 +134,16 @@
         .create(true)
         .open(folder.join(format!("{name}.log")))
         .expect("the log can be written");
+    let errors = fs::OpenOptions::new()
+        .append(true)
+        .create(true)
+        .open(folder.join(format!("{name}.errors")))
+        .expect("the log of errors can be written");
     let child = Command::new("target/release/toucanwall")
         .arg("gateway")
         .env("TOUCANWALL_CONFIG", &settings)
         .stdout(log)
-        .stderr(Stdio::null())
+        .stderr(errors)
         .spawn()
         .expect("the program starts; build it first");
     register(child.id());
