--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -33,9 +33,12 @@
     let record = &case.record;
     let store = Store::start(record);
     let answer = |name: &'static str| {
-        Arc::new(move |request: &stand_ins::http::Request, connection: &mut stand_ins::http::Connection| {
-            connection.write(&server::sealed(request, 200, name.as_bytes()))
-        })
+        Arc::new(
+            move |request: &stand_ins::http::Request,
+                  connection: &mut stand_ins::http::Connection| {
+                connection.write(&server::sealed(request, 200, name.as_bytes()))
+            },
+        )
     };
     let old = Server::start("i-old", record, answer("old desk"));
     let new = Server::start("i-new", record, answer("new desk"));
@@ -67,8 +70,13 @@
     // All hosts are in touch again before the next change.
     thread::sleep(Duration::from_millis(hosts::CONTACT_MS + 2_000));
     for host in &hosts {
-        let (_, response) =
-            case.send(host.frontend(), "GET", "/read/before", &[("Authorization", REVOKED_KEY)], 2_000);
+        let (_, response) = case.send(
+            host.frontend(),
+            "GET",
+            "/read/before",
+            &[("Authorization", REVOKED_KEY)],
+            2_000,
+        );
         if response.is_none_or(|response| response.status != 200) {
             return Err("a host does not serve before the change".to_owned());
         }
@@ -82,7 +90,8 @@
     for host in &hosts {
         for _ in 0..REQUESTS {
             let headers = [("Authorization", REVOKED_KEY)];
-            let (id, response) = case.send(host.frontend(), "GET", "/read/revoked", &headers, 2_000);
+            let (id, response) =
+                case.send(host.frontend(), "GET", "/read/revoked", &headers, 2_000);
             if response.is_some_and(|response| response.status == 200) {
                 record.line(&format!("CONFIG: {id} was served with a key that was taken away"));
                 violations += 1;
@@ -100,8 +109,9 @@
 
 fn configuration(version: u64, service: &str, has_revoked_key: bool) -> Json {
     let keys = if has_revoked_key { "\"key-kept\",\"key-revoked\"" } else { "\"key-kept\"" };
-    let service_text =
-        |name: &str| format!("{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_connections\":96}}");
+    let service_text = |name: &str| {
+        format!("{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_connections\":96}}")
+    };
     let text = format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r-read\",\"host\":\"site.example\",\
          \"path_prefix\":\"/read/\",\"route_type\":\"safe\",\"timeout_ms\":2000,\
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -42,7 +42,9 @@
     let sound = Server::start(
         "i-sound",
         record,
-        Arc::new(|request: &Request, connection: &mut Connection| stream(request, connection, false)),
+        Arc::new(|request: &Request, connection: &mut Connection| {
+            stream(request, connection, false)
+        }),
     );
     for server in [&faulty, &sound] {
         store.put("servers", &server.id, &server::entry("engines", server.address, "ready", 1_000));
@@ -69,7 +71,10 @@
         let is_whole = is_gapless && ids.len() as u64 == LAST;
         complete += usize::from(response.is_complete);
         if !is_gapless || (response.is_complete && !is_whole) {
-            record.line(&format!("ORDER: {id} got the events {ids:?}, end: {}", response.is_complete));
+            record.line(&format!(
+                "ORDER: {id} got the events {ids:?}, end: {}",
+                response.is_complete
+            ));
             violations += 1;
         }
         thread::sleep(Duration::from_millis(200));
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -84,8 +84,7 @@
     if case.has_trouble {
         store.lose_answers(Some("rollouts"));
     }
-    let order =
-        format!("{{\"service\":\"desk\",\"target\":\"v2\",\"duration_s\":{DURATION_S}}}");
+    let order = format!("{{\"service\":\"desk\",\"target\":\"v2\",\"duration_s\":{DURATION_S}}}");
     store.put("rollouts", "desk", &Json::parse(&order).expect("a valid order"));
     thread::sleep(LOSS);
     if case.has_trouble {
--- a/review/stand-ins/hosts.rs
+++ b/review/stand-ins/hosts.rs
@@ -82,7 +82,8 @@
 
     pub fn is_ready(&self) -> bool {
         let address = SocketAddr::from((self.ip, READY_PORT));
-        let request = http::request("GET", "/readyz", &[("Host", "host"), ("Connection", "close")], b"");
+        let request =
+            http::request("GET", "/readyz", &[("Host", "host"), ("Connection", "close")], b"");
         let timeout = Duration::from_secs(1);
         http::Connection::connect(address, timeout)
             .and_then(|mut it| it.exchange(&request, Instant::now() + timeout))
@@ -114,6 +115,11 @@
         let _ = Command::new("kill").args([signal, &pid]).status();
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
@@ -150,13 +156,20 @@
     child
 }
 
-/// A loopback address at which the ports of a host are free.
+/// A loopback address at which the ports of a host are free, of those of this process and host.
 fn free_ip(number: u8) -> Ipv4Addr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    for attempt in 0..100_u8 {
-        let ip = Ipv4Addr::new(127, 100 + attempt, high, low.wrapping_add(number).clamp(1, 254));
-        let ports =
-            [FRONTEND_PORT, READY_PORT, REGISTRY_PORT, CONTROL_PORT, INTERNAL_PORTS[0], INTERNAL_PORTS[1]];
+    for attempt in 0..8_u8 {
+        let ip =
+            Ipv4Addr::new(127, 64 + number.wrapping_mul(8).wrapping_add(attempt) % 128, high, low);
+        let ports = [
+            FRONTEND_PORT,
+            READY_PORT,
+            REGISTRY_PORT,
+            CONTROL_PORT,
+            INTERNAL_PORTS[0],
+            INTERNAL_PORTS[1],
+        ];
         if ports.iter().all(|port| TcpListener::bind((ip, *port)).is_ok()) {
             return ip;
         }
--- a/review/stand-ins/server.rs
+++ b/review/stand-ins/server.rs
@@ -39,7 +39,9 @@
             for stream in listener.incoming().flatten() {
                 let (server, record) = (acceptor.clone(), record.clone());
                 let handler = Arc::clone(&handler);
-                thread::spawn(move || server.serve(http::Connection::new(stream), &record, &handler));
+                thread::spawn(move || {
+                    server.serve(http::Connection::new(stream), &record, &handler)
+                });
             }
         });
         server
@@ -71,7 +73,10 @@
             };
             record.line(&format!(
                 "server {}: runs {id} {} {} for {:?}, last event {:?}",
-                self.id, request.method, request.target, arrival.organisation,
+                self.id,
+                request.method,
+                request.target,
+                arrival.organisation,
                 arrival.last_event_id
             ));
             self.executed.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push(arrival);
--- a/review/stand-ins/store.rs
+++ b/review/stand-ins/store.rs
@@ -49,8 +49,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let contents = Contents { revision: 1, ..Contents::default() };
-        let state =
-            State { contents, era: 1, is_away: false, epoch: 0, connections: Vec::new(), lost_kind: None };
+        let state = State {
+            contents,
+            era: 1,
+            is_away: false,
+            epoch: 0,
+            connections: Vec::new(),
+            lost_kind: None,
+        };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let store = Self { state, record: record.clone(), address };
         let acceptor = store.clone();
