--- a/crates/gateway/src/change_feed.rs
+++ b/crates/gateway/src/change_feed.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time;
 
+use toucanwall_platform::era;
 use toucanwall_platform::object;
 use toucanwall_platform::store;
 use toucanwall_policy::relay as policy;
@@ -57,6 +58,8 @@
     pub clock: clock::Clock,
     /// Forwards store events to other hosts while this host watches the store.
     pub relay: Arc<relay::Relay>,
+    /// The latest era of the store that this host has heard of.
+    pub latest_era: era::LatestEra,
     /// The latest view, which contains the other hosts.
     pub view: tokio::sync::watch::Receiver<Arc<view::View>>,
     /// Channel on which store events are sent.
@@ -81,6 +84,14 @@
     Relay(Box<subscription::Subscription>),
 }
 
+impl Inputs {
+    /// Creates a client of the store.
+    #[must_use]
+    pub fn store_client(&self) -> store::StoreClient {
+        store::StoreClient::new(self.settings.store_address, self.latest_era.clone())
+    }
+}
+
 impl ChangeFeed {
     /// Creates a feed that has not chosen its source yet.
     #[must_use]
@@ -101,7 +112,7 @@
 
     /// Lists the hosts and subscribes to a relay among them, or falls back to the store.
     async fn initial_source(&mut self) -> Source {
-        let mut store = store::StoreClient::new(self.inputs.settings.store_address);
+        let mut store = self.inputs.store_client();
         let listed = store.list(object::Kind::Hosts, None).await;
         self.inputs.metrics.record_store_call(object::Kind::Hosts.as_str(), listed.is_err());
         let page = match listed {
@@ -150,12 +161,11 @@
     /// Starts the probe and the watchers of all kinds, which run until the set is dropped.
     fn start_watchers(&self, tracker: &reachability::Tracker) -> tokio::task::JoinSet<()> {
         let settings = &self.inputs.settings;
-        let address = settings.store_address;
         let events = || self.inputs.events.clone();
         let metrics = || Arc::clone(&self.inputs.metrics);
         let mut watchers = tokio::task::JoinSet::new();
         let probe = store_probe::StoreProbe::new(store_probe::Inputs {
-            store: store::StoreClient::new(address),
+            store: self.inputs.store_client(),
             host: settings.host.as_str().into(),
             tracker: tracker.clone(),
             relay: Arc::clone(&self.inputs.relay),
@@ -172,7 +182,7 @@
         ] {
             let watcher = watcher::Watcher::new(
                 kind,
-                address,
+                self.inputs.store_client(),
                 batch_ms,
                 tracker.clone(),
                 events(),
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -10,14 +10,17 @@
 use std::time;
 
 use rand::RngExt as _;
+use toucanwall_platform::era;
 use toucanwall_platform::object;
 use toucanwall_platform::operator;
 use toucanwall_platform::registration;
+use toucanwall_platform::store;
 use toucanwall_policy::canary;
 use toucanwall_policy::relay as policy_relay;
 use toucanwall_policy::server_notices;
 use toucanwall_routing::host;
 use toucanwall_routing::local_state;
+use toucanwall_routing::position;
 use toucanwall_routing::rollout;
 use toucanwall_routing::server;
 use toucanwall_routing::settings;
@@ -54,6 +57,14 @@
 /// Time after which this host's entry is written again if the store has not shown it, in
 /// milliseconds: longer than a write and the batching delay for changes of hosts.
 const REREGISTER_AFTER_MS: u64 = 1_500;
+/// Longest random delay before a host writes its entry again, or the state of a roll-out, for each
+/// host, in milliseconds. The store loses those of many hosts at once.
+const REWRITE_DELAY_PER_HOST_MS: u64 = 5;
+/// Longest such delay however many hosts there are, in milliseconds.
+const REWRITE_DELAY_MAX_MS: u64 = 1_000;
+/// Number of heartbeats after which the platform removes the entry of a silent server, and one that
+/// may be under way.
+const SERVER_EXPIRY_HEARTBEATS: u64 = 4;
 
 /// Dependencies of the control thread.
 #[derive(Debug)]
@@ -136,8 +147,15 @@
     /// When a write of this host's entry was last requested, in milliseconds; `None` once the host
     /// has withdrawn its entry.
     registered_ms: Option<u64>,
-    /// Latest known revision of each kind of object.
-    revisions: collections::BTreeMap<object::Kind, u64>,
+    /// The latest era of the store that this host has heard of.
+    latest_era: era::LatestEra,
+    /// Latest known position of each kind of object.
+    positions: collections::BTreeMap<object::Kind, position::Position>,
+    /// Era of the latest list of any kind.
+    era: position::Era,
+    /// When this host next looks whether the store has lost what it wrote, in milliseconds, since it
+    /// found that something is missing.
+    rewrite_due_ms: Option<u64>,
     /// Roll-out states that were written recently, with the time of the write in milliseconds.
     recent_writes: Vec<(rollout::Rollout, u64)>,
 }
@@ -148,8 +166,9 @@
     /// Must be called within the control thread's runtime, because it spawns a task.
     fn new(inputs: Inputs, datagram_socket: datagrams::DatagramSocket) -> Self {
         let (writes, receiver) = tokio::sync::mpsc::unbounded_channel();
+        let latest_era = era::LatestEra::new();
         let store_writer = store_writer::StoreWriter::new(
-            inputs.settings.store_address,
+            store::StoreClient::new(inputs.settings.store_address, latest_era.clone()),
             inputs.settings.host.as_str().into(),
             Arc::clone(&inputs.metrics),
         );
@@ -172,7 +191,10 @@
             crash_entries: crashes::EntryLog::default(),
             next_expiry_ms: 0,
             registered_ms: None,
-            revisions: collections::BTreeMap::new(),
+            latest_era,
+            positions: collections::BTreeMap::new(),
+            era: position::Era::default(),
+            rewrite_due_ms: None,
             recent_writes: Vec::new(),
         }
     }
@@ -232,6 +254,7 @@
             host: Arc::new(self.inputs.host.clone()),
             clock: self.inputs.clock,
             relay: Arc::clone(&self.relay),
+            latest_era: self.latest_era.clone(),
             view: self.inputs.views.subscribe(),
             events: events.clone(),
             rollouts: Arc::clone(&self.inputs.rollouts),
@@ -259,22 +282,57 @@
         self.request_write(store_writer::Write::PutHost(self.inputs.host.clone()));
     }
 
-    /// Registers this host again if the store does not show its entry, which another host may have
-    /// removed during a pause of this one, or the store may have lost.
-    fn check_registration(&mut self, now_ms: u64) {
+    /// Whether the store does not show this host's entry, which another host may have removed during
+    /// a pause of this one, or the store may have lost.
+    fn lacks_registration(&self, now_ms: u64) -> bool {
         let (Some(registered_ms), Some(hosts)) = (self.registered_ms, self.local_state.hosts())
         else {
-            return;
+            return false;
         };
-        let entry = hosts.get(&self.inputs.host.name).map(Arc::as_ref);
+        let own_name = &self.inputs.host.name;
+        let stored = hosts.get(own_name).filter(|_| self.local_state.is_host_stored(own_name));
         let is_due = now_ms >= registered_ms + REREGISTER_AFTER_MS;
-        if is_due && !self.local_state.is_store_lost() && entry != Some(&self.inputs.host) {
+        is_due && stored.map(Arc::as_ref) != Some(&self.inputs.host)
+    }
+
+    /// Writes this host's entry and the states of roll-outs again if the store has lost them.
+    fn write_lost_objects(&mut self, now_ms: u64) {
+        if self.local_state.is_store_lost() {
+            return;
+        }
+        let lacks_registration = self.lacks_registration(now_ms);
+        let lost_rollouts: Vec<_> =
+            self.local_state.unstored_rollouts().map(|rollout| (**rollout).clone()).collect();
+        if !lacks_registration && lost_rollouts.is_empty() {
+            self.rewrite_due_ms = None;
+            return;
+        }
+        let delay_ms = self.spread_delay_ms(REWRITE_DELAY_PER_HOST_MS, REWRITE_DELAY_MAX_MS);
+        if now_ms < *self.rewrite_due_ms.get_or_insert(now_ms + delay_ms) {
+            return;
+        }
+        self.rewrite_due_ms = None;
+        if lacks_registration {
             log::warn!(
-                target: "toucanwall", has_entry = entry.is_some();
-                "the store does not show this host's entry; registering again"
+                target: "toucanwall", "the store does not show this host's entry; registering again"
             );
             self.register(now_ms);
         }
+        for rollout in lost_rollouts {
+            if !self.was_written_recently(&rollout) {
+                log::warn!(
+                    target: "toucanwall", service = rollout.service.as_str(),
+                    version = rollout.target.as_str(), state:? = rollout.state;
+                    "the store does not show the state of a roll-out; writing it again"
+                );
+                self.write_rollout(rollout, now_ms);
+            }
+        }
+    }
+
+    fn write_rollout(&mut self, rollout: rollout::Rollout, now_ms: u64) {
+        self.request_write(store_writer::Write::UpdateRollout(rollout.clone()));
+        self.recent_writes.push((rollout, now_ms));
     }
 
     /// Watches the registered hosts after a change of this kind of object.
@@ -313,18 +371,18 @@
         let now_ms = self.inputs.clock.now_ms();
         self.relay.forward(&event);
         match event {
-            store_event::Event::Listed(store_event::Listing { kind, revision, objects }) => {
-                if self.accept_revision(kind, revision) {
-                    self.apply_list(kind, &objects, now_ms);
+            store_event::Event::Listed(store_event::Listing { kind, position, objects }) => {
+                if self.accept_list(kind, position, now_ms) {
+                    self.apply_list(kind, &objects, position.era, now_ms);
                     self.watch_hosts(kind);
                 }
             }
             store_event::Event::Changed(store_event::ChangeSet {
-                kind, revision, changes, ..
+                kind, position, changes, ..
             }) => {
-                if self.accept_revision(kind, revision) {
+                if self.accept_changes(kind, position) {
                     for change in &changes {
-                        self.apply_change(kind, change, now_ms);
+                        self.apply_change(kind, change, position, now_ms);
                     }
                     self.watch_hosts(kind);
                 }
@@ -340,23 +398,62 @@
         }
     }
 
-    /// Records the revision of an event and returns true, or returns false if the event is older
-    /// than the known state of its kind. An event can be older because a relay may lag behind the
-    /// previous source.
-    fn accept_revision(&mut self, kind: object::Kind, revision: u64) -> bool {
-        let known = self.revisions.entry(kind).or_default();
-        if revision < *known {
-            log::info!(
-                target: "toucanwall", kind = kind.as_str(), revision = revision, known = *known;
-                "outdated store event ignored"
-            );
+    /// Records the position of a list and returns true, or returns false if the list is older than the
+    /// known state of its kind. It can be older because a relay may lag behind the previous source.
+    fn accept_list(
+        &mut self,
+        kind: object::Kind,
+        position: position::Position,
+        now_ms: u64,
+    ) -> bool {
+        let known = self.positions.get(&kind).copied().unwrap_or_default();
+        if position < known {
+            log_outdated(kind, position, known);
+            return false;
+        }
+        self.positions.insert(kind, position);
+        if position.era > self.era {
+            let is_restored = !self.era.is_unstated();
+            self.era = position.era;
+            if is_restored {
+                self.store_restored(now_ms);
+            }
+        }
+        true
+    }
+
+    /// Records the position of changes and returns true, or returns false if they are older than the
+    /// known state of their kind, or if objects of their era have not been listed.
+    fn accept_changes(&mut self, kind: object::Kind, position: position::Position) -> bool {
+        let known = self.positions.get(&kind).copied().unwrap_or_default();
+        if position < known || position.era != known.era {
+            log_outdated(kind, position, known);
             return false;
         }
-        *known = revision;
+        self.positions.insert(kind, position);
         true
     }
 
-    fn apply_list(&mut self, kind: object::Kind, objects: &[object::Object], now_ms: u64) {
+    /// Keeps what the restored store may have lost until its writers have written it again.
+    fn store_restored(&mut self, now_ms: u64) {
+        let bounds = &self.inputs.settings.bounds;
+        log::warn!(
+            target: "toucanwall", era = self.era.number(); "the store was restored from a copy"
+        );
+        let times = local_state::RewriteTimes {
+            hosts_ms: bounds.contact_ms,
+            server_expiry_ms: bounds.heartbeat_ms * SERVER_EXPIRY_HEARTBEATS,
+        };
+        self.local_state.store_restored(now_ms, times);
+    }
+
+    fn apply_list(
+        &mut self,
+        kind: object::Kind,
+        objects: &[object::Object],
+        era: position::Era,
+        now_ms: u64,
+    ) {
         log::info!(target: "toucanwall", kind = kind.as_str(), objects = objects.len(); "object list received");
         match kind {
             object::Kind::Configuration => {
@@ -376,24 +473,29 @@
             }
             object::Kind::Rollouts => {
                 let rollouts = objects.iter().filter_map(|object| {
-                    operator::decode_rollout(object).map_err(|error| log_malformed(&error)).ok()
+                    operator::decode_rollout(object, era)
+                        .map_err(|error| log_malformed(&error))
+                        .ok()
                 });
                 self.local_state.replace_rollouts(rollouts.collect());
             }
             object::Kind::Hosts => {
-                self.local_state
-                    .replace_hosts(objects.iter().filter_map(change_feed::decode_host).collect());
+                let hosts = objects.iter().filter_map(change_feed::decode_host).collect();
+                self.local_state.replace_hosts(hosts, now_ms);
             }
             object::Kind::CrashReports => {
-                self.crash_entries.clear_stored();
-                for object in objects {
-                    self.apply_crash_entry(object);
-                }
+                self.apply_crash_entries(objects, era, now_ms);
             }
         }
     }
 
-    fn apply_change(&mut self, kind: object::Kind, change: &object::Change, now_ms: u64) {
+    fn apply_change(
+        &mut self,
+        kind: object::Kind,
+        change: &object::Change,
+        position: position::Position,
+        now_ms: u64,
+    ) {
         let name = &*change.object.metadata.name;
         match (kind, change.is_deleted) {
             (object::Kind::Configuration, false) => self.apply_configuration(&change.object),
@@ -421,17 +523,19 @@
                     revision = change.object.metadata.revision; "server entry vanished"
                 );
             }
-            (object::Kind::Rollouts, false) => match operator::decode_rollout(&change.object) {
-                Ok(rollout) => {
-                    log::info!(
-                        target: "toucanwall", service = name, version = rollout.target.as_str(),
-                        state:? = rollout.state, revision = change.object.metadata.revision;
-                        "roll-out"
-                    );
-                    self.local_state.put_rollout(rollout);
+            (object::Kind::Rollouts, false) => {
+                match operator::decode_rollout(&change.object, position.era) {
+                    Ok(rollout) => {
+                        log::info!(
+                            target: "toucanwall", service = name, version = rollout.target.as_str(),
+                            state:? = rollout.state, revision = change.object.metadata.revision;
+                            "roll-out"
+                        );
+                        self.local_state.put_rollout(rollout);
+                    }
+                    Err(error) => log_malformed(&error),
                 }
-                Err(error) => log_malformed(&error),
-            },
+            }
             (object::Kind::Rollouts, true) => self.local_state.remove_rollout(name),
             (object::Kind::Hosts, false) => {
                 if let Some(host) = change_feed::decode_host(&change.object) {
@@ -439,7 +543,12 @@
                 }
             }
             (object::Kind::Hosts, true) => self.local_state.remove_host(name),
-            (object::Kind::CrashReports, false) => self.apply_crash_entry(&change.object),
+            (object::Kind::CrashReports, false) => {
+                if let Some(entry) = self.learn_crash_entry(&change.object) {
+                    let (name, position) = stored_at(&change.object, position.era);
+                    self.crash_entries.record_stored(name, position, &entry);
+                }
+            }
             (object::Kind::CrashReports, true) => self.remove_crash_entry(name),
         }
     }
@@ -453,20 +562,35 @@
     }
 
     /// Learns what this or another host has found out about servers that ended under requests.
-    fn apply_crash_entry(&mut self, object: &object::Object) {
-        let metadata = &object.metadata;
+    fn learn_crash_entry(&mut self, object: &object::Object) -> Option<crashes::Entry> {
         match serde_json::from_str::<crashes::Entry>(object.spec_text()) {
             Ok(entry) => {
                 self.inputs.crashes.merge(&entry, self.inputs.clock.now());
-                self.crash_entries.record_stored(&metadata.name, metadata.revision, &entry);
+                Some(entry)
+            }
+            Err(error) => {
+                log::warn!(
+                    target: "toucanwall", entry = &*object.metadata.name, why = error.to_string();
+                    "malformed entry about a crash ignored"
+                );
+                None
             }
-            Err(error) => log::warn!(
-                target: "toucanwall", entry = &*metadata.name, why = error.to_string();
-                "malformed entry about a crash ignored"
-            ),
         }
     }
 
+    fn apply_crash_entries(&mut self, objects: &[object::Object], era: position::Era, now_ms: u64) {
+        let entries: Vec<_> = objects
+            .iter()
+            .filter_map(|object| Some((object, self.learn_crash_entry(object)?)))
+            .collect();
+        let stored = entries.iter().map(|(object, entry)| {
+            let (name, position) = stored_at(object, era);
+            (name, position, entry)
+        });
+        let delay_ms = self.spread_delay_ms(BLOCK_DELAY_PER_HOST_MS, BLOCK_DELAY_MAX_MS);
+        self.crash_entries.replace_stored(stored, era, now_ms + delay_ms);
+    }
+
     /// Learns that an entry about a crash is no longer in the store.
     fn remove_crash_entry(&mut self, name: &str) {
         if let Some(part) = self.crash_entries.record_removed(name) {
@@ -484,7 +608,9 @@
         for entry in self.inputs.crashes.take_unreported(now) {
             let delay_ms = match entry {
                 // All hosts decide to block the same parts; one of them has to write it.
-                crashes::Entry::Block(_) => self.block_delay_ms(),
+                crashes::Entry::Block(_) => {
+                    self.spread_delay_ms(BLOCK_DELAY_PER_HOST_MS, BLOCK_DELAY_MAX_MS)
+                }
                 crashes::Entry::Crash(_) | crashes::Entry::Clearance(_) => 0,
             };
             self.crash_entries.add(entry, self.inputs.host.run_id, now_ms + delay_ms);
@@ -501,19 +627,18 @@
         self.next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS;
         self.inputs.crashes.expire(now_ms);
         let view = Arc::clone(&self.inputs.views.borrow());
-        for (name, revision) in self.crash_entries.expire(now.unix_ms) {
+        for (name, position) in self.crash_entries.expire(now.unix_ms) {
             if view.rank_of(&self.inputs.settings.host, ingress::stable_hash(&name)) == 0 {
-                self.request_write(store_writer::Write::RemoveCrashEntry(name, revision));
+                self.request_write(store_writer::Write::RemoveCrashEntry(name, position));
             }
         }
     }
 
     /// Random delay of a write that each host would make, so that most hosts see that another one
     /// has made it, in milliseconds.
-    fn block_delay_ms(&self) -> u64 {
+    fn spread_delay_ms(&self, per_host_ms: u64, max_ms: u64) -> u64 {
         let hosts = self.inputs.views.borrow().serving_host_count();
-        let max_ms = hosts.saturating_mul(BLOCK_DELAY_PER_HOST_MS);
-        rand::rng().random_range(0..=max_ms.min(BLOCK_DELAY_MAX_MS))
+        rand::rng().random_range(0..=hosts.saturating_mul(per_host_ms).min(max_ms))
     }
 
     fn apply_configuration(&mut self, object: &object::Object) {
@@ -556,21 +681,26 @@
 
     /// Whether this roll-out state was written recently and may not be visible in the store yet.
     fn was_written_recently(&self, wanted: &rollout::Rollout) -> bool {
-        self.recent_writes.iter().any(|(written, _)| {
-            written.order_revision == wanted.order_revision && written.state == wanted.state
-        })
+        self.recent_writes
+            .iter()
+            .any(|(written, _)| written.order == wanted.order && written.state == wanted.state)
     }
 
     fn tick(&mut self) {
         let now_ms = self.inputs.clock.now_ms();
-        self.check_registration(now_ms);
+        self.write_lost_objects(now_ms);
         self.remove_lost_hosts(now_ms);
         self.write_crash_entries(now_ms);
         self.inputs.rollouts.count_overdue(now_ms);
         self.peers.send_rollout_reports();
         let expired = self.local_state.tick(now_ms);
         if !expired.is_empty() {
-            log::info!(target: "toucanwall", servers:? = expired; "servers did not re-register after an outage");
+            log::info!(
+                target: "toucanwall", servers:? = expired.servers, hosts:? = expired.hosts,
+                rollouts:? = expired.rollouts, used_again:? = expired.departures;
+                "not written again after an outage"
+            );
+            self.watch_hosts(object::Kind::Hosts);
             self.publish();
         }
         self.recent_writes.retain(|(_, at_ms)| now_ms < at_ms + REWRITE_AFTER_MS);
@@ -579,7 +709,7 @@
         let delay = |rollout: &rollout::Rollout| {
             // Relays hear of more answers than other hosts.
             let relays = policy_relay::relays(view.serving_hosts());
-            let rank = view.rank_among(own_name, rollout.order_revision, &relays);
+            let rank = view.rank_among(own_name, rollout.order.revision, &relays);
             canary::StepDelay::of_rank(rank)
         };
         for update in self.inputs.rollouts.pending_updates(self.inputs.clock.now(), delay) {
@@ -591,8 +721,7 @@
                 version = update.rollout.target.as_str(), state:? = update.rollout.state,
                 why = update.evidence; "roll-out step"
             );
-            self.request_write(store_writer::Write::UpdateRollout(update.rollout.clone()));
-            self.recent_writes.push((update.rollout, now_ms));
+            self.write_rollout(update.rollout, now_ms);
         }
     }
 }
@@ -608,6 +737,18 @@
     }
 }
 
+/// Name of an object in the store, and the position of its last change.
+fn stored_at(object: &object::Object, era: position::Era) -> (&Arc<str>, position::Position) {
+    (&object.metadata.name, position::Position::new(era, object.metadata.revision))
+}
+
+fn log_outdated(kind: object::Kind, position: position::Position, known: position::Position) {
+    log::info!(
+        target: "toucanwall", kind = kind.as_str(), position:? = position, known:? = known;
+        "outdated store event ignored"
+    );
+}
+
 fn log_malformed<E>(error: &E)
 where
     E: std::error::Error,
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -13,6 +13,7 @@
 use toucanwall_policy::crash_causes;
 use toucanwall_policy::crash_history;
 use toucanwall_routing::name;
+use toucanwall_routing::position;
 use toucanwall_routing::server;
 
 use crate::rollouts;
@@ -187,7 +188,7 @@
     /// When the entry was made, in milliseconds since the Unix epoch; `None` if it never expires.
     made_unix_ms: Option<u64>,
     blocked_part: Option<u64>,
-    revision: u64,
+    position: position::Position,
 }
 
 #[derive(Debug)]
@@ -530,12 +531,12 @@
     }
 
     /// Records that the store shows an entry.
-    pub fn record_stored(&mut self, name: &Arc<str>, revision: u64, entry: &Entry) {
+    pub fn record_stored(&mut self, name: &Arc<str>, position: position::Position, entry: &Entry) {
         let blocked_part = match entry {
             Entry::Block(block) => Some(u64::from_be_bytes(block.blocked_part)),
             Entry::Crash(_) | Entry::Clearance(_) => None,
         };
-        let stored = StoredEntry { made_unix_ms: entry.made_unix_ms(), blocked_part, revision };
+        let stored = StoredEntry { made_unix_ms: entry.made_unix_ms(), blocked_part, position };
         self.stored.insert(Arc::clone(name), stored);
     }
 
@@ -549,9 +550,24 @@
         blocked_part
     }
 
-    /// Records that the store shows no entries; those that it does show are recorded next.
-    pub fn clear_stored(&mut self) {
-        self.stored.clear();
+    /// Replaces the entries by those that the store shows in an era. Blocked parts that a restored store has lost become
+    /// own entries, which are written once the monotonic clock shows `write_after_ms`.
+    pub fn replace_stored<'a, E>(&mut self, entries: E, era: position::Era, write_after_ms: u64)
+    where
+        E: IntoIterator<Item = (&'a Arc<str>, position::Position, &'a Entry)>,
+    {
+        let former = std::mem::take(&mut self.stored);
+        for (name, position, entry) in entries {
+            self.record_stored(name, position, entry);
+        }
+        let stored = &self.stored;
+        let lost = former
+            .into_iter()
+            .filter(|(name, former)| former.position.era < era && !stored.contains_key(name));
+        for (name, part) in lost.filter_map(|(name, former)| Some((name, former.blocked_part?))) {
+            let entry = Entry::Block(Block { blocked_part: part.to_be_bytes() });
+            self.own.entry(name).or_insert(OwnEntry { entry, write_after_ms });
+        }
     }
 
     /// Own entries to write now: new ones, and those that the store does not show, since a write
@@ -569,9 +585,9 @@
         .collect()
     }
 
-    /// Forgets expired entries; returns the names and revisions of those in the store, which some
+    /// Forgets expired entries; returns the names and positions of those in the store, which some
     /// host has to remove.
-    pub fn expire(&mut self, now_unix_ms: u64) -> Vec<(Arc<str>, u64)> {
+    pub fn expire(&mut self, now_unix_ms: u64) -> Vec<(Arc<str>, position::Position)> {
         let is_expired = |made_unix_ms: Option<u64>| {
             made_unix_ms.is_some_and(|made_unix_ms| {
                 now_unix_ms.saturating_sub(made_unix_ms) >= crash_history::CRASH_TTL_MS
@@ -579,7 +595,7 @@
         };
         self.own.retain(|_, own| !is_expired(own.entry.made_unix_ms()));
         let expired = self.stored.iter().filter(|(_, stored)| is_expired(stored.made_unix_ms));
-        expired.map(|(name, stored)| (Arc::clone(name), stored.revision)).collect()
+        expired.map(|(name, stored)| (Arc::clone(name), stored.position)).collect()
     }
 }
 
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -1,9 +1,10 @@
 //! Reachability of the platform's store, shared by all tasks of this host that call it.
 
 use std::sync::Arc;
-use std::sync::atomic;
 use std::time;
 
+use toucanwall_routing::position;
+
 /// Time after an invalidation in which further ones are ignored, in milliseconds, since a single
 /// cause breaks several calls at about the same time.
 const INVALIDATION_DEBOUNCE_MS: u64 = 300;
@@ -26,8 +27,8 @@
     answered_at: Arc<std::sync::Mutex<tokio::time::Instant>>,
     /// When pending calls were last invalidated.
     invalidated_at: Arc<std::sync::Mutex<Option<tokio::time::Instant>>>,
-    /// Revision up to which changes of the configuration are known; zero before the first list.
-    configuration_revision: Arc<atomic::AtomicU64>,
+    /// Position up to which changes of the configuration are known; `None` before the first list.
+    configuration_position: Arc<std::sync::Mutex<Option<position::Position>>>,
 }
 
 impl Tracker {
@@ -39,7 +40,7 @@
             state,
             answered_at: Arc::new(std::sync::Mutex::new(tokio::time::Instant::now())),
             invalidated_at: Arc::new(std::sync::Mutex::new(None)),
-            configuration_revision: Arc::new(atomic::AtomicU64::new(0)),
+            configuration_position: Arc::default(),
         }
     }
 
@@ -94,15 +95,19 @@
         self.answered_at.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// Records the revision up to which changes of the configuration are known.
-    pub fn set_configuration_revision(&self, revision: u64) {
-        self.configuration_revision.store(revision, atomic::Ordering::Relaxed);
+    /// Records the position up to which changes of the configuration are known.
+    pub fn set_configuration_position(&self, position: Option<position::Position>) {
+        *self.lock_configuration_position() = position;
     }
 
-    /// Revision up to which changes of the configuration are known; zero before the first list.
+    /// Position up to which changes of the configuration are known; `None` before the first list.
     #[must_use]
-    pub fn configuration_revision(&self) -> u64 {
-        self.configuration_revision.load(atomic::Ordering::Relaxed)
+    pub fn configuration_position(&self) -> Option<position::Position> {
+        *self.lock_configuration_position()
+    }
+
+    fn lock_configuration_position(&self) -> std::sync::MutexGuard<'_, Option<position::Position>> {
+        self.configuration_position.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use toucanwall_policy::relay;
 use toucanwall_routing::host;
 use toucanwall_routing::name;
+use toucanwall_routing::position;
 
 use crate::frame;
 use crate::reachability;
@@ -68,7 +69,7 @@
 
 #[derive(Debug)]
 struct ObjectList {
-    revision: u64,
+    position: position::Position,
     by_name: collections::BTreeMap<Arc<str>, object::Object>,
     /// The list encoded as a message; `None` after a change.
     message: Option<bytes::Bytes>,
@@ -121,7 +122,7 @@
                 let by_name = listing.objects.iter().cloned();
                 let by_name = by_name.map(|object| (Arc::clone(&object.metadata.name), object));
                 let objects = ObjectList {
-                    revision: listing.revision,
+                    position: listing.position,
                     by_name: by_name.collect(),
                     message: None,
                 };
@@ -288,7 +289,7 @@
                 objects.by_name.insert(name, change.object.clone());
             }
         }
-        objects.revision = change_set.revision;
+        objects.position = change_set.position;
         objects.message = None;
     }
 
@@ -298,7 +299,7 @@
         if objects.message.is_none() {
             let listing = store_event::Listing {
                 kind,
-                revision: objects.revision,
+                position: objects.position,
                 objects: objects.by_name.values().cloned().collect(),
             };
             match frame::encode(&frame::Frame::Listing(listing)) {
--- a/crates/gateway/src/relay_session.rs
+++ b/crates/gateway/src/relay_session.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time;
 
+use toucanwall_platform::era;
 use toucanwall_platform::object;
 use toucanwall_platform::store;
 use toucanwall_policy::relay;
@@ -33,6 +34,7 @@
     metrics: Arc<metrics::Metrics>,
     rollouts: Arc<rollouts::Rollouts>,
     host: Arc<str>,
+    latest_era: era::LatestEra,
     /// Client for this host's own probes of the store; `None` while a probe is running.
     store: Option<store::StoreClient>,
     /// The running probe of the store.
@@ -66,7 +68,8 @@
             metrics: Arc::clone(&inputs.metrics),
             rollouts: Arc::clone(&inputs.rollouts),
             host: inputs.host.name.as_str().into(),
-            store: Some(store::StoreClient::new(inputs.settings.store_address)),
+            latest_era: inputs.latest_era.clone(),
+            store: Some(inputs.store_client()),
             probe: None,
             has_store: None,
             ticks,
@@ -152,7 +155,11 @@
         }
     }
 
-    fn send(&self, event: store_event::Event) {
+    fn send(&self, mut event: store_event::Event) {
+        event.assume_era(self.latest_era.get());
+        if let Some(position) = event.position() {
+            self.latest_era.record(position.era);
+        }
         if self.events.send(event).is_err() {
             log::debug!(target: "toucanwall", "receiver of store events is closed");
         }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -13,6 +13,7 @@
 use toucanwall_policy::canary;
 use toucanwall_policy::sequential_test as sequential;
 use toucanwall_routing::name;
+use toucanwall_routing::position;
 use toucanwall_routing::rollout;
 use toucanwall_routing::server;
 use toucanwall_routing::settings;
@@ -85,6 +86,9 @@
     pub service: name::ServiceName,
     /// Store revision of the roll-out's order.
     pub order_revision: u64,
+    /// Era of that revision.
+    #[serde(default, skip_serializing_if = "position::Era::is_unstated")]
+    pub order_era: position::Era,
     /// Number of responses.
     pub answers: u64,
     /// Number of responses among them that failed or began late.
@@ -137,10 +141,7 @@
         let mut tracked = self.lock();
         tracked.retain(|service, _| rollouts.contains_key(service));
         for (service, rollout) in rollouts {
-            let is_same_order = |tracked: &&mut TrackedRollout| {
-                tracked.rollout.target == rollout.target
-                    && tracked.rollout.order_revision == rollout.order_revision
-            };
+            let is_same_order = |tracked: &&mut TrackedRollout| rollout.continues(&tracked.rollout);
             if let Some(tracked) = tracked.get_mut(service).filter(is_same_order) {
                 tracked.rollout = Arc::clone(rollout);
                 continue;
@@ -337,7 +338,7 @@
         let mut tracked = self.lock();
         let matching = tracked
             .get_mut(&report.service)
-            .filter(|tracked| tracked.rollout.order_revision == report.order_revision);
+            .filter(|tracked| report.is_about(tracked.rollout.order));
         match matching {
             Some(tracked) if is_valid => {
                 let peer = tracked.peers.entry(host.clone()).or_default();
@@ -420,7 +421,8 @@
         let routes = observations.routes.iter().take(MAX_REPORTED_ROUTES);
         Self {
             service,
-            order_revision: rollout.order_revision,
+            order_revision: rollout.order.revision,
+            order_era: rollout.order.era,
             answers: observations.answers.answers,
             bad: observations.answers.bad,
             compared: observations.speeds.answers,
@@ -431,6 +433,12 @@
         }
     }
 
+    /// Whether the report is about an order; a host of an earlier build states no era.
+    fn is_about(&self, order: position::Position) -> bool {
+        self.order_revision == order.revision
+            && (self.order_era == order.era || self.order_era.is_unstated())
+    }
+
     fn observations(&self) -> canary::Observations {
         canary::Observations {
             answers: sequential::Evidence { answers: self.answers, bad: self.bad },
--- a/crates/gateway/src/store_probe.rs
+++ b/crates/gateway/src/store_probe.rs
@@ -6,6 +6,7 @@
 
 use toucanwall_platform::object;
 use toucanwall_platform::store;
+use toucanwall_routing::position;
 
 use crate::metrics;
 use crate::reachability;
@@ -46,8 +47,8 @@
 #[derive(Debug)]
 pub struct StoreProbe {
     inputs: Inputs,
-    /// Known configuration revision that a probe found outdated, and when a probe first found that.
-    lag: Option<(u64, tokio::time::Instant)>,
+    /// Known configuration position that a probe found outdated, and when a probe first found that.
+    lag: Option<(position::Position, tokio::time::Instant)>,
 }
 
 impl StoreProbe {
@@ -81,11 +82,11 @@
     async fn probe(&mut self) -> Result<(), store::StoreError> {
         let Inputs { store, host, tracker, metrics, .. } = &mut self.inputs;
         let mut called_at = tokio::time::Instant::now();
-        let revision = tracker.configuration_revision();
+        let position = tracker.configuration_position();
         let timeout = time::Duration::from_millis(CHANGES_TIMEOUT_MS);
         let mut looked = None;
-        if revision != 0 {
-            let calling = store.read_changes_stale(object::Kind::Configuration, revision);
+        if let Some(position) = position {
+            let calling = store.read_changes_stale(object::Kind::Configuration, position);
             looked = match tokio::time::timeout(timeout, calling).await {
                 Ok(Err(store::StoreError::ConnectionLost(_))) | Err(_) => None,
                 Ok(result) => Some(result),
@@ -109,7 +110,7 @@
         match result {
             Err(error) if error.is_outage() => Err(error),
             Err(store::StoreError::HistoryExpired) | Ok(true) => {
-                self.check_lag(revision);
+                self.check_lag(position.unwrap_or_default());
                 Ok(())
             }
             _ => {
@@ -121,15 +122,15 @@
 
     /// Invalidates pending calls if they have not returned known changes within [`MAX_LAG_MS`],
     /// since they will not return them any more.
-    fn check_lag(&mut self, revision: u64) {
+    fn check_lag(&mut self, position: position::Position) {
         let now = tokio::time::Instant::now();
         let since = match self.lag {
-            Some((known, since)) if known == revision => since,
+            Some((known, since)) if known == position => since,
             _ => now,
         };
-        self.lag = Some((revision, since));
+        self.lag = Some((position, since));
         if now.duration_since(since) >= time::Duration::from_millis(MAX_LAG_MS) {
-            log::warn!(target: "toucanwall", revision = revision; "pending watch call was lost; repeating it");
+            log::warn!(target: "toucanwall", position:? = position; "pending watch call was lost; repeating it");
             self.inputs.tracker.invalidate_pending_calls();
             self.lag = None;
         }
--- a/crates/gateway/src/store_writer.rs
+++ b/crates/gateway/src/store_writer.rs
@@ -1,6 +1,5 @@
 //! Writes of a host to the platform's store: its own entry and the status of roll-outs.
 
-use std::net;
 use std::sync::Arc;
 use std::time;
 
@@ -9,6 +8,7 @@
 use toucanwall_platform::operator;
 use toucanwall_platform::store;
 use toucanwall_routing::host;
+use toucanwall_routing::position;
 use toucanwall_routing::rollout;
 
 use crate::change_feed;
@@ -27,8 +27,8 @@
     RemoveLostHost(Arc<host::HostEntry>),
     /// Create an entry about crashes.
     CreateCrashEntry(Arc<str>, crashes::Entry),
-    /// Remove an entry about crashes that is still at the given revision.
-    RemoveCrashEntry(Arc<str>, u64),
+    /// Remove an entry about crashes that has not changed since the given position.
+    RemoveCrashEntry(Arc<str>, position::Position),
     /// Update the status of a roll-out.
     UpdateRollout(rollout::Rollout),
     /// Remove this host's entry; the sender is notified when it is removed or the attempt has
@@ -54,10 +54,10 @@
 }
 
 impl StoreWriter {
-    /// Creates a writer to the store at `address` for a host.
+    /// Creates a writer for a host.
     #[must_use]
-    pub fn new(address: net::SocketAddr, host: Arc<str>, metrics: Arc<metrics::Metrics>) -> Self {
-        Self { store: store::StoreClient::new(address), host, metrics }
+    pub fn new(store: store::StoreClient, host: Arc<str>, metrics: Arc<metrics::Metrics>) -> Self {
+        Self { store, host, metrics }
     }
 
     /// Processes write requests until the channel is closed.
@@ -69,8 +69,8 @@
                 Write::CreateCrashEntry(name, report) => {
                     self.create_crash_entry(&name, &report).await;
                 }
-                Write::RemoveCrashEntry(name, revision) => {
-                    self.remove_crash_entry(&name, revision).await;
+                Write::RemoveCrashEntry(name, position) => {
+                    self.remove_crash_entry(&name, position).await;
                 }
                 Write::UpdateRollout(rollout) => self.update_rollout(&rollout).await,
                 Write::RemoveHost(done) => {
@@ -113,7 +113,7 @@
             Ok(_) => Ok(()),
             // Replaces the entry of an earlier run, or of an attempt whose answer was lost.
             Err(store::StoreError::Conflict(_)) => {
-                self.store.replace(kind, &self.host, 0, spec).await.map(drop)
+                self.store.replace(kind, &self.host, None, spec).await.map(drop)
             }
             Err(error) => Err(error),
         }
@@ -144,18 +144,18 @@
     ) -> Result<(), store::StoreError> {
         let kind = object::Kind::Rollouts;
         let name = wanted.service.as_str();
-        let object = self.store.read(kind, name).await?;
+        let stored = self.store.read(kind, name).await?;
         let malformed = |error: String| store::StoreError::Malformed(error);
-        let current = operator::decode_rollout(&object).map_err(|e| malformed(e.to_string()))?;
+        let current = operator::decode_rollout(&stored.object, stored.era)
+            .map_err(|e| malformed(e.to_string()))?;
         let is_up_to_date = current.state.is_final() || current.state == wanted.state;
         if is_up_to_date || current.target != wanted.target {
             return Ok(());
         }
         let status =
             operator::encode_rollout_status(wanted).map_err(|e| malformed(e.to_string()))?;
-        // The revision condition prevents a decision on one order from being written to a later
-        // order.
-        self.store.replace_status(kind, name, object.metadata.revision, status).await.map(drop)
+        // The condition prevents a decision on one order from being written to a later order.
+        self.store.replace_status(kind, name, Some(stored.position()), status).await.map(drop)
     }
 
     /// Attempts the removal once; the control thread retries if the entry stays.
@@ -184,16 +184,15 @@
         host: &host::HostEntry,
     ) -> Result<Removal, store::StoreError> {
         let kind = object::Kind::Hosts;
-        let object = match self.store.read(kind, host.name.as_str()).await {
-            Ok(object) => object,
+        let stored = match self.store.read(kind, host.name.as_str()).await {
+            Ok(stored) => stored,
             Err(store::StoreError::NotFound) => return Ok(Removal::Changed),
             Err(error) => return Err(error),
         };
-        if change_feed::decode_host(&object).as_ref() != Some(host) {
+        if change_feed::decode_host(&stored.object).as_ref() != Some(host) {
             return Ok(Removal::Changed);
         }
-        let revision = object.metadata.revision;
-        match self.store.delete(kind, host.name.as_str(), revision).await {
+        match self.store.delete(kind, host.name.as_str(), stored.position()).await {
             Ok(()) => Ok(Removal::Done),
             Err(store::StoreError::Conflict(_) | store::StoreError::NotFound) => {
                 Ok(Removal::Changed)
@@ -227,8 +226,8 @@
         }
     }
 
-    async fn remove_crash_entry(&mut self, name: &str, revision: u64) {
-        let result = self.store.delete(object::Kind::CrashReports, name, revision).await;
+    async fn remove_crash_entry(&mut self, name: &str, position: position::Position) {
+        let result = self.store.delete(object::Kind::CrashReports, name, position).await;
         self.metrics.record_store_call("crash_report", result.is_err());
         if let Err(error) = result {
             log::info!(
@@ -241,7 +240,7 @@
     async fn remove_host(&mut self) {
         let kind = object::Kind::Hosts;
         let result = match self.store.read(kind, &self.host).await {
-            Ok(object) => self.store.delete(kind, &self.host, object.metadata.revision).await,
+            Ok(stored) => self.store.delete(kind, &self.host, stored.position()).await,
             Err(error) => Err(error),
         };
         self.metrics.record_store_call("own_host", result.is_err());
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -1,12 +1,13 @@
 //! Watches the objects of one kind in the platform's store.
 
-use std::net;
 use std::sync::Arc;
 use std::time;
 
 use rand::RngExt as _;
+use toucanwall_platform::era;
 use toucanwall_platform::object;
 use toucanwall_platform::store;
+use toucanwall_routing::position;
 
 use crate::metrics;
 use crate::reachability;
@@ -37,8 +38,8 @@
     tracker: reachability::Tracker,
     events: tokio::sync::mpsc::UnboundedSender<store_event::Event>,
     metrics: Arc<metrics::Metrics>,
-    /// Revision up to which changes are known; `None` until the objects have been listed.
-    revision: Option<u64>,
+    /// Position up to which changes are known; `None` until the objects have been listed.
+    position: Option<position::Position>,
     /// Consecutive failed calls.
     failures: u32,
     /// End of the recovery period, during which calls wait for a short time only.
@@ -57,13 +58,12 @@
     #[must_use]
     pub fn new(
         kind: object::Kind,
-        address: net::SocketAddr,
+        store: store::StoreClient,
         batch_ms: u64,
         tracker: reachability::Tracker,
         events: tokio::sync::mpsc::UnboundedSender<store_event::Event>,
         metrics: Arc<metrics::Metrics>,
     ) -> Self {
-        let store = store::StoreClient::new(address);
         let recovers_until = tokio::time::Instant::now();
         Self {
             kind,
@@ -72,7 +72,7 @@
             tracker,
             events,
             metrics,
-            revision: None,
+            position: None,
             failures: 0,
             recovers_until,
         }
@@ -88,8 +88,17 @@
         let mut states = self.tracker.subscribe();
         let reachable = states.wait_for(|state| state.is_reachable).await.map(|state| *state);
         let Ok(current) = reachable else { return Next::Stop };
+        let (latest_era, position) = (self.store.latest_era().clone(), self.position);
         let result = tokio::select! {
             result = self.call_store() => result,
+            () = store_restored(&latest_era, position) => {
+                log::info!(
+                    target: "toucanwall", kind = self.kind.as_str();
+                    "the store was restored from a copy; listing the objects again"
+                );
+                self.restart();
+                return Next::Call;
+            }
             // The pending call may have been lost.
             changed = states.wait_for(|state| *state != current) => {
                 self.restart();
@@ -100,14 +109,18 @@
         match result {
             Ok(None) => Next::Call,
             Ok(Some(event)) => self.send_event(event).await,
+            Err(store::StoreError::Restored) => {
+                self.restart();
+                Next::Call
+            }
             Err(error) => self.recover(&error).await,
         }
     }
 
     async fn call_store(&mut self) -> Result<Option<store_event::Event>, store::StoreError> {
-        match self.revision {
+        match self.position {
             None => self.list().await.map(Some),
-            Some(revision) => self.watch(revision).await,
+            Some(position) => self.watch(position).await,
         }
     }
 
@@ -122,7 +135,7 @@
 
     async fn recover(&mut self, error: &store::StoreError) -> Next {
         log::info!(
-            target: "toucanwall", kind = self.kind.as_str(), revision = self.revision,
+            target: "toucanwall", kind = self.kind.as_str(), position:? = self.position,
             why = error.to_string(); "call to the store failed; listing the objects again"
         );
         self.restart();
@@ -134,25 +147,25 @@
         Next::Call
     }
 
-    /// Records the revision up to which changes are known.
-    fn set_revision(&mut self, revision: Option<u64>) {
-        self.revision = revision;
+    /// Records the position up to which changes are known.
+    fn set_position(&mut self, position: Option<position::Position>) {
+        self.position = position;
         if self.kind == object::Kind::Configuration {
-            self.tracker.set_configuration_revision(revision.unwrap_or(0));
+            self.tracker.set_configuration_position(position);
         }
     }
 
     /// Makes the next call list all objects, since changes may have been missed.
     fn restart(&mut self) {
         self.store.disconnect();
-        self.revision = None;
+        self.set_position(None);
         self.recovers_until =
             tokio::time::Instant::now() + time::Duration::from_millis(RECOVERY_MS);
     }
 
     async fn list(&mut self) -> Result<store_event::Event, store::StoreError> {
         let mut objects: Vec<object::Object> = Vec::new();
-        let mut revision = None;
+        let mut position = None;
         loop {
             let after = objects.last().map(|object| Arc::clone(&object.metadata.name));
             let page = self.store.list(self.kind, after.as_deref()).await?;
@@ -163,12 +176,15 @@
                 return Err(store::StoreError::Malformed(reason.to_owned()));
             }
             // Objects on earlier pages may have changed by the time a later page is read, so watch
-            // from the revision of the first page.
-            let revision = *revision.get_or_insert(page.revision);
+            // from the position of the first page.
+            let position = *position.get_or_insert(page.position);
+            if page.position.era != position.era {
+                return Err(store::StoreError::Restored);
+            }
             objects.extend(page.entries);
             if is_last {
-                self.set_revision(Some(revision));
-                let listing = store_event::Listing { kind: self.kind, revision, objects };
+                self.set_position(Some(position));
+                let listing = store_event::Listing { kind: self.kind, position, objects };
                 return Ok(store_event::Event::Listed(listing));
             }
         }
@@ -176,19 +192,27 @@
 
     async fn watch(
         &mut self,
-        revision: u64,
+        position: position::Position,
     ) -> Result<Option<store_event::Event>, store::StoreError> {
         let has_recovered = tokio::time::Instant::now() >= self.recovers_until;
         let wait_ms = if has_recovered { WATCH_WAIT_MS } else { RECOVERY_WAIT_MS };
-        let changes = self.store.watch(self.kind, revision, wait_ms).await?;
+        let changes = self.store.watch(self.kind, position, wait_ms).await?;
         let change_set = store_event::ChangeSet {
             kind: self.kind,
-            base_revision: revision,
-            revision: changes.revision.max(revision),
+            base_revision: position.revision,
+            position: changes.position.max(position),
             changes: changes.events,
         };
-        self.set_revision(Some(change_set.revision));
+        self.set_position(Some(change_set.position));
         let has_changes = !change_set.changes.is_empty();
         Ok(has_changes.then_some(store_event::Event::Changed(change_set)))
     }
 }
+
+/// Waits until the store is in a later era than the known changes; waits for ever if none are known.
+async fn store_restored(latest_era: &era::LatestEra, known: Option<position::Position>) {
+    match known {
+        Some(position) => latest_era.later_than(position.era).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/routing/src/local_state.rs
+++ b/crates/routing/src/local_state.rs
@@ -7,24 +7,37 @@
 use crate::host;
 use crate::name;
 use crate::rollout;
+use crate::rollout_log;
 use crate::server;
 use crate::view;
 
 /// Time after the store's return in which servers whose entries expired during the outage register
 /// again, in milliseconds; guaranteed by the platform.
 pub const REREGISTRATION_GRACE_MS: u64 = 2_000;
+/// Time for which the departure of a server is remembered, in milliseconds: longer than a copy from
+/// which the store is restored may be old.
+const DEPARTURE_RETENTION_MS: u64 = 120_000;
 
 /// The deployment state as one host knows it.
 ///
 /// The configuration version never decreases. If a server's entry vanishes during an outage of the
 /// store or up to [`REREGISTRATION_GRACE_MS`] after it, the server is kept until that time has
 /// passed, since it could not renew its entry.
+///
+/// A store that is restored from a copy lacks what was written since, and shows again what was removed.
+/// Until all writers had time to write again, servers, hosts and roll-outs that it lacks are kept, and
+/// servers that had left are not used although it shows them.
 #[derive(Debug, Default)]
 pub struct LocalState {
     configuration: Option<Arc<configuration::Configuration>>,
     servers: Option<collections::BTreeMap<name::ServerId, ServerEntry>>,
-    rollouts: collections::BTreeMap<name::ServiceName, Arc<rollout::Rollout>>,
+    rollouts: rollout_log::RolloutLog,
     hosts: Option<collections::BTreeMap<name::HostName, Arc<host::HostEntry>>>,
+    /// Hosts that the restored store does not show.
+    missing_hosts: collections::BTreeSet<name::HostName>,
+    /// Servers whose entries were removed, with the time of the removal.
+    departed: collections::BTreeMap<name::ServerId, Departure>,
+    restoration: Option<Restoration>,
     silent_hosts: collections::BTreeSet<name::HostName>,
     store: StoreState,
 }
@@ -33,6 +46,45 @@
 struct ServerEntry {
     server: Arc<server::BackendServer>,
     is_missing: bool,
+    /// Whether the server had left before the store was restored from a copy that still holds its
+    /// entry.
+    has_departed: bool,
+}
+
+impl ServerEntry {
+    /// The server as this host uses it.
+    fn current(&self) -> Arc<server::BackendServer> {
+        if self.has_departed {
+            let readiness = server::Readiness::Draining;
+            return Arc::new(server::BackendServer { readiness, ..(*self.server).clone() });
+        }
+        Arc::clone(&self.server)
+    }
+}
+
+/// A run of a server whose entry was removed.
+#[derive(Debug)]
+struct Departure {
+    server: Arc<server::BackendServer>,
+    at_ms: u64,
+}
+
+/// Until when a restored store is not taken at its word, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+struct Restoration {
+    /// End of the time in which hosts register again.
+    hosts_until_ms: u64,
+    /// End of the time in which the entries of servers that had left expire.
+    servers_until_ms: u64,
+}
+
+/// Times that the writers of a restored store need, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RewriteTimes {
+    /// Time in which hosts register again.
+    pub hosts_ms: u64,
+    /// Time in which the entry of a server that does not renew it expires.
+    pub server_expiry_ms: u64,
 }
 
 /// Availability of the platform's store.
@@ -64,6 +116,27 @@
     Unknown,
 }
 
+/// What was dropped or changed because it did not reappear in the store in time.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Expired {
+    /// Servers that were removed.
+    pub servers: Vec<name::ServerId>,
+    /// Hosts that were removed.
+    pub hosts: Vec<name::HostName>,
+    /// Services whose roll-outs were removed.
+    pub rollouts: Vec<name::ServiceName>,
+    /// Servers that had left before the store was restored, whose entries were renewed since.
+    pub departures: Vec<name::ServerId>,
+}
+
+impl Expired {
+    /// Whether nothing was dropped or changed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 impl LocalState {
     /// Creates an empty state.
     #[must_use]
@@ -96,20 +169,50 @@
         let known = self.servers.get_or_insert_default();
         let listed: collections::BTreeSet<name::ServerId> =
             servers.iter().map(|server| server.id.clone()).collect();
-        known.retain(|id, _| retains_missing || listed.contains(id));
         for (id, entry) in known.iter_mut() {
             entry.is_missing = !listed.contains(id);
         }
+        if !retains_missing {
+            self.remove_missing_servers(now_ms);
+        }
         for server in servers {
-            self.put_server(server);
+            let has_departed = self.has_departed(&server, now_ms);
+            self.insert_server(server, has_departed);
         }
     }
 
-    /// Adds or replaces a server.
+    /// Adds or replaces a server that has written its entry.
     pub fn put_server(&mut self, server: server::BackendServer) {
+        self.departed.remove(&server.id);
+        self.insert_server(server, false);
+    }
+
+    fn insert_server(&mut self, server: server::BackendServer, has_departed: bool) {
         let known = self.servers.get_or_insert_default();
-        known
-            .insert(server.id.clone(), ServerEntry { server: Arc::new(server), is_missing: false });
+        let id = server.id.clone();
+        let entry = ServerEntry { server: Arc::new(server), is_missing: false, has_departed };
+        known.insert(id, entry);
+    }
+
+    /// Whether a listed server is a run that had left before the store was restored.
+    fn has_departed(&self, server: &server::BackendServer, now_ms: u64) -> bool {
+        let is_restoring = self.restoration.is_some_and(|it| now_ms < it.servers_until_ms);
+        let departure = self.departed.get(&server.id).filter(|_| is_restoring);
+        departure.is_some_and(|it| {
+            it.server.address == server.address
+                && it.server.started_unix_ms == server.started_unix_ms
+        })
+    }
+
+    /// Removes the servers whose entries are missing; returns their ids.
+    fn remove_missing_servers(&mut self, now_ms: u64) -> Vec<name::ServerId> {
+        let Some(known) = self.servers.as_mut() else { return Vec::new() };
+        let gone: Vec<_> = known.extract_if(.., |_, entry| entry.is_missing).collect();
+        let departures = gone.iter().map(|(id, entry)| {
+            (id.clone(), Departure { server: Arc::clone(&entry.server), at_ms: now_ms })
+        });
+        self.departed.extend(departures);
+        gone.into_iter().map(|(id, _)| id).collect()
     }
 
     /// Handles the removal of a server's entry from the store.
@@ -124,10 +227,25 @@
             }
             return Removal::Kept;
         }
-        known.remove(id);
+        if let Some(entry) = known.get_mut(id) {
+            entry.is_missing = true;
+        }
+        self.remove_missing_servers(now_ms);
         Removal::Gone
     }
 
+    /// Records that the store was restored from a copy.
+    pub fn store_restored(&mut self, now_ms: u64, times: RewriteTimes) {
+        if matches!(self.store, StoreState::Available | StoreState::RecoveredSince(_)) {
+            self.store = StoreState::RecoveredSince(now_ms);
+        }
+        self.restoration = Some(Restoration {
+            hosts_until_ms: now_ms.saturating_add(times.hosts_ms),
+            servers_until_ms: now_ms.saturating_add(times.server_expiry_ms),
+        });
+        self.rollouts.store_restored(now_ms, times.hosts_ms);
+    }
+
     /// Records that the store does not answer.
     pub fn store_failed(&mut self, now_ms: u64) {
         if !matches!(self.store, StoreState::LostSince(_)) {
@@ -142,35 +260,59 @@
         }
     }
 
-    /// Advances the clock; removes and returns the servers whose entries did not reappear in time.
-    pub fn tick(&mut self, now_ms: u64) -> Vec<name::ServerId> {
+    /// Advances the clock; removes and returns what did not reappear in time.
+    pub fn tick(&mut self, now_ms: u64) -> Expired {
+        let mut expired = Expired::default();
         if let StoreState::RecoveredSince(since_ms) = self.store
             && now_ms >= since_ms + REREGISTRATION_GRACE_MS
         {
             self.store = StoreState::Available;
-            let Some(known) = self.servers.as_mut() else { return Vec::new() };
-            let gone: Vec<_> = known
-                .iter()
-                .filter(|(_, entry)| entry.is_missing)
-                .map(|(id, _)| id.clone())
-                .collect();
-            known.retain(|_, entry| !entry.is_missing);
-            return gone;
+            expired.servers = self.remove_missing_servers(now_ms);
         }
-        Vec::new()
+        expired.rollouts = self.rollouts.tick(now_ms);
+        self.departed.retain(|_, departure| now_ms < departure.at_ms + DEPARTURE_RETENTION_MS);
+        if let Some(restoration) = self.restoration {
+            if now_ms >= restoration.hosts_until_ms {
+                expired.hosts = self.remove_missing_hosts();
+            }
+            if now_ms >= restoration.servers_until_ms {
+                expired.departures = self.readmit_departed_servers();
+            }
+            if now_ms >= restoration.hosts_until_ms.max(restoration.servers_until_ms) {
+                self.restoration = None;
+            }
+        }
+        expired
+    }
+
+    fn remove_missing_hosts(&mut self) -> Vec<name::HostName> {
+        let missing = std::mem::take(&mut self.missing_hosts);
+        if let Some(hosts) = &mut self.hosts {
+            hosts.retain(|name, _| !missing.contains(name));
+        }
+        missing.into_iter().collect()
+    }
+
+    /// Uses servers again that had left before the store was restored: by now, the entry of a server
+    /// that does not renew it has expired.
+    fn readmit_departed_servers(&mut self) -> Vec<name::ServerId> {
+        let entries = self.servers.iter_mut().flatten();
+        let departed = entries.filter(|(_, entry)| entry.has_departed);
+        let readmitted = departed.map(|(id, entry)| {
+            entry.has_departed = false;
+            id.clone()
+        });
+        readmitted.collect()
     }
 
     /// Adds or replaces a roll-out.
     pub fn put_rollout(&mut self, rollout: rollout::Rollout) {
-        self.rollouts.insert(rollout.service.clone(), Arc::new(rollout));
+        self.rollouts.put(rollout);
     }
 
     /// Replaces the list of roll-outs.
     pub fn replace_rollouts(&mut self, rollouts: Vec<rollout::Rollout>) {
-        self.rollouts.clear();
-        for rollout in rollouts {
-            self.put_rollout(rollout);
-        }
+        self.rollouts.replace(rollouts);
     }
 
     /// Removes the roll-out of a service.
@@ -178,17 +320,35 @@
         self.rollouts.remove(service);
     }
 
+    /// The roll-outs of which the store shows less progress than this host knows.
+    pub fn unstored_rollouts(&self) -> impl Iterator<Item = &Arc<rollout::Rollout>> {
+        self.rollouts.unstored()
+    }
+
     /// Adds or replaces a host.
     pub fn put_host(&mut self, host: host::HostEntry) {
+        self.missing_hosts.remove(&host.name);
         self.hosts.get_or_insert_default().insert(host.name.clone(), Arc::new(host));
     }
 
     /// Replaces the list of hosts.
-    pub fn replace_hosts(&mut self, hosts: Vec<host::HostEntry>) {
-        self.hosts = Some(collections::BTreeMap::new());
+    pub fn replace_hosts(&mut self, hosts: Vec<host::HostEntry>, now_ms: u64) {
+        let retains_missing = self.restoration.is_some_and(|it| now_ms < it.hosts_until_ms);
+        let former = self.hosts.replace(collections::BTreeMap::new()).unwrap_or_default();
+        self.missing_hosts.clear();
         for host in hosts {
             self.put_host(host);
         }
+        if !retains_missing {
+            return;
+        }
+        let known = self.hosts.get_or_insert_default();
+        for (name, host) in former {
+            if !known.contains_key(&name) {
+                known.insert(name.clone(), host);
+                self.missing_hosts.insert(name);
+            }
+        }
     }
 
     /// The registered hosts, or `None` until they have been listed.
@@ -212,20 +372,25 @@
 
     /// Removes a host.
     pub fn remove_host(&mut self, name: &str) {
+        self.missing_hosts.remove(name);
         if let Some(hosts) = &mut self.hosts {
             hosts.remove(name);
         }
     }
 
+    /// Whether the store shows a host that is kept.
+    #[must_use]
+    pub fn is_host_stored(&self, name: &name::HostName) -> bool {
+        !self.missing_hosts.contains(name)
+            && self.hosts.as_ref().is_some_and(|hosts| hosts.contains_key(name))
+    }
+
     /// Creates a snapshot of the state.
     #[must_use]
     pub fn view(&self) -> view::View {
-        let known: collections::BTreeMap<_, _> = self
-            .servers
-            .iter()
-            .flatten()
-            .map(|(id, entry)| (id.clone(), Arc::clone(&entry.server)))
-            .collect();
+        let entries = self.servers.iter().flatten();
+        let known: collections::BTreeMap<_, _> =
+            entries.map(|(id, entry)| (id.clone(), entry.current())).collect();
         let mut servers: collections::BTreeMap<name::ServiceName, Vec<_>> =
             collections::BTreeMap::new();
         for server in known.values() {
@@ -242,7 +407,7 @@
             has_servers: self.servers.is_some(),
             ready_servers: Arc::new(servers),
             all_servers: Arc::new(known),
-            rollouts: Arc::new(self.rollouts.clone()),
+            rollouts: Arc::new(self.rollouts.all()),
             hosts: Arc::new(self.hosts.clone().unwrap_or_default()),
             silent_hosts: Arc::new(self.silent_hosts.clone()),
         }
--- a/crates/routing/src/rollout.rs
+++ b/crates/routing/src/rollout.rs
@@ -1,6 +1,7 @@
 //! Roll-outs, which move a service's traffic to servers of another version.
 
 use crate::name;
+use crate::position;
 
 /// A roll-out as an operator requested it, and its progress.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -13,9 +14,9 @@
     pub duration_ms: u64,
     /// Progress of the roll-out.
     pub state: State,
-    /// Store revision at which the operator's request was created; identifies the roll-out, also
-    /// across restarts.
-    pub order_revision: u64,
+    /// Position in the store's history at which the operator's request was created; identifies the
+    /// roll-out, also across restarts.
+    pub order: position::Position,
     /// When the first host began to act on the request, in milliseconds since the Unix epoch, if
     /// one has recorded it.
     pub started_unix_ms: Option<u64>,
@@ -34,7 +35,39 @@
     Reverted,
 }
 
+impl Rollout {
+    /// Whether this is the same order as an earlier one, or the same order written again after the
+    /// store was restored from a copy.
+    #[must_use]
+    pub fn continues(&self, earlier: &Self) -> bool {
+        self.target == earlier.target
+            && (self.order == earlier.order
+                || self.order.era > earlier.order.era && self.duration_ms == earlier.duration_ms)
+    }
+
+    /// This roll-out with the progress of an earlier state of it, if that was further.
+    #[must_use]
+    pub fn with_progress_of(self, earlier: &Self) -> Self {
+        let state = if self.state.progress() < earlier.state.progress() {
+            earlier.state
+        } else {
+            self.state
+        };
+        let started_unix_ms = self.started_unix_ms.or(earlier.started_unix_ms);
+        Self { state, started_unix_ms, ..self }
+    }
+}
+
 impl State {
+    /// Number of steps behind; both ends have the same.
+    fn progress(self) -> u8 {
+        match self {
+            Self::Ordered => 0,
+            Self::InProgress => 1,
+            Self::Completed | Self::Reverted => 2,
+        }
+    }
+
     /// Whether the roll-out has ended.
     #[must_use]
     pub fn is_final(self) -> bool {
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -40,6 +40,8 @@
     pub drain_ms: u64,
     /// Time after which a host without contact to the others is out of contact, in milliseconds.
     pub contact_ms: u64,
+    /// Interval at which backend servers renew their entries in the store, in milliseconds.
+    pub heartbeat_ms: u64,
     /// Time between SIGTERM and SIGKILL, in milliseconds.
     pub grace_ms: u64,
     /// Retries allowed to a service for each request to it.
