Forward the events before a break in the same bytes

Cause: the splitter advanced its last id by each whole event and then returned the error of a later one in the same bytes in place of those events. The stream was resumed behind an event that nobody had received.

Change: the splitter returns what is complete together with why nothing follows, and its id advances by that alone. The stream hands the events over before it breaks, in its first bytes as well, and lets the caller's connection write them before an error ends it.

--- a/crates/daemon/tests/gateway_fleet/mod.rs
+++ b/crates/daemon/tests/gateway_fleet/mod.rs
@@ -316,10 +316,13 @@
             .method(method)
             .uri(format!("http://{}{path}", self.address(index, CALLER_PORT)))
             .header("host", "site.example")
-            .header("x-toucanwall-attempt-id", id)
-            .header("x-toucanwall-deadline-ms", "3000");
-        if !headers.iter().any(|(name, _)| *name == "authorization") {
-            request = request.header("authorization", format!("Token {KEY}"));
+            .header("x-toucanwall-attempt-id", id);
+        for (name, value) in
+            [("x-toucanwall-deadline-ms", "3000"), ("authorization", &format!("Token {KEY}"))]
+        {
+            if !headers.iter().any(|(given, _)| *given == name) {
+                request = request.header(name, value);
+            }
         }
         for (name, value) in headers {
             request = request.header(*name, *value);
--- a/crates/daemon/tests/resumed_streams.rs
+++ b/crates/daemon/tests/resumed_streams.rs
@@ -6,6 +6,9 @@
 use rstest::rstest;
 use toucanwall_platform_standin::backend;
 use toucanwall_platform_standin::backend::Behaviour;
+use toucanwall_platform_standin::broken_stream::Break;
+use toucanwall_platform_standin::broken_stream::BrokenStream;
+use toucanwall_platform_standin::broken_stream::GARBAGE;
 
 const LAST_EVENT: u64 = 6;
 /// Number of the event after which streams break off.
@@ -106,3 +109,69 @@
     fleet.wait_for("a stream to be continued", is_used).await;
     drop(servers);
 }
+
+/// Guards against whole events that are lost, and missing in a stream that ends as complete, because
+/// the bytes behind them break the stream off.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn events_before_a_break_in_the_same_bytes_are_forwarded(
+    #[values(
+        Break::Unnumbered,
+        Break::Repeated,
+        Break::Skipped,
+        Break::Back,
+        Break::Oversized,
+        Break::Endless,
+        Break::MalformedChunk,
+        Break::OtherResponse,
+        Break::Reset,
+        Break::Truncated,
+        Break::Unfinished,
+        Break::Stalled
+    )]
+    how: Break,
+    // Within a stream, in its first bytes, and in the first and later bytes of resumed streams.
+    #[values(vec![3], vec![1], vec![2, 3], vec![1, 4])] breaks: Vec<u64>,
+) {
+    let broken = Behaviour::BreakStream(BrokenStream { last: LAST_EVENT, breaks, how });
+    let (fleet, _servers) = start([broken.clone(), broken.clone()]).await;
+    let third = backend::Backend::start("s-3", broken).await;
+    fleet.register("engines", &third, "ready");
+    let is_known = async || fleet.log(0).contains(r#""server":"s-3""#);
+    fleet.wait_for("the third server to be known", is_known).await;
+    // Enough for two streams that stall.
+    let deadline = [("x-toucanwall-deadline-ms", "4000")];
+    let response = fleet.send(0, "POST", "/chat/x", &deadline).await.expect("a response");
+    assert!(!response.body.contains(GARBAGE), "{response:?}\n{}", fleet.log(0));
+    let numbers = gateway_fleet::event_numbers(&response.body);
+    let expected: Vec<u64> = (1..=LAST_EVENT).collect();
+    let log = fleet.log(0);
+    assert!(expected.starts_with(&numbers), "{response:?}\n{log}");
+    assert!(response.is_complete, "{response:?}\n{log}");
+    assert_eq!(numbers, expected, "{log}");
+}
+
+/// Guards against a stream that may not be resumed and looks complete behind such a break.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_may_not_be_resumed_ends_visibly_behind_its_last_whole_event(
+    #[values(Break::Unnumbered, Break::Skipped, Break::MalformedChunk, Break::Unfinished)]
+    how: Break,
+    #[values(vec![3], vec![1])] breaks: Vec<u64>,
+) {
+    let whole = breaks[0];
+    let broken = BrokenStream { last: LAST_EVENT, breaks, how };
+    let (fleet, servers) =
+        start([Behaviour::BreakStream(broken.clone()), Behaviour::BreakStream(broken)]).await;
+    let mut configuration = gateway_fleet::configuration(3);
+    configuration["routes"][2]["resumable"] = false.into();
+    fleet.store.put("config", "main", &configuration);
+    tokio::time::sleep(gateway_fleet::CONFIG_APPLY_LIMIT).await;
+    let response = fleet.send(0, "POST", "/chat/x", &[]).await.expect("a response");
+    let log = fleet.log(0);
+    assert!(!response.is_complete, "{response:?}\n{log}");
+    let expected: Vec<u64> = (1..=whole).collect();
+    assert_eq!(gateway_fleet::event_numbers(&response.body), expected, "{response:?}\n{log}");
+    let runs: usize = servers.iter().map(|server| server.executed().len()).sum();
+    assert_eq!(runs, 1, "{log}");
+}
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -15,6 +15,21 @@
     events: u64,
 }
 
+/// What a splitter has made of the bytes so far.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Split {
+    /// Complete events, possibly none. More may follow.
+    Complete(bytes::Bytes),
+    /// Complete events, possibly none, and the error behind them: nothing else of the stream can be
+    /// used.
+    Broken {
+        /// The events before the error.
+        events: bytes::Bytes,
+        /// Why no event follows.
+        error: EventError,
+    },
+}
+
 /// Error in a stream of events.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -46,27 +61,37 @@
         Self { buffer: Vec::new(), last_id, events: 0 }
     }
 
-    /// Appends bytes and returns the events that are now complete.
-    ///
-    /// # Errors
-    /// [`EventError`] if an event is too large or its ID does not continue the sequence.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<bytes::Bytes, EventError> {
+    /// Appends bytes and returns the events that are now complete. The ID and the number of events
+    /// advance by what is returned, and by nothing else.
+    #[must_use]
+    pub fn push(&mut self, bytes: &[u8]) -> Split {
         self.buffer.extend_from_slice(bytes);
         let mut complete_len = 0;
+        let mut error = None;
         while let Some(end) = event_end(&self.buffer[complete_len..]) {
             let event = &self.buffer[complete_len..complete_len + end];
             if !is_comment(event) {
                 let id = event_id(event);
+                if let Err(invalid) = self.advance_to(id) {
+                    error = Some(invalid);
+                    break;
+                }
                 self.events += 1;
-                self.advance_to(id)?;
             }
             complete_len += end;
         }
-        if self.buffer.len() - complete_len > EVENT_MAX_BYTES {
-            return Err(EventError::TooLong);
+        if error.is_none() && self.buffer.len() - complete_len > EVENT_MAX_BYTES {
+            error = Some(EventError::TooLong);
         }
         let rest = self.buffer.split_off(complete_len);
-        Ok(std::mem::replace(&mut self.buffer, rest).into())
+        let events = std::mem::replace(&mut self.buffer, rest).into();
+        match error {
+            None => Split::Complete(events),
+            Some(error) => {
+                self.buffer = Vec::new();
+                Split::Broken { events, error }
+            }
+        }
     }
 
     /// Returns the ID of the last complete event.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -28,7 +28,7 @@
 pub struct EventStream {
     head: hyper::http::response::Parts,
     first_events: bytes::Bytes,
-    upstream: Option<Upstream>,
+    source: Source,
     splitter: sse::EventSplitter,
     exchange: Option<exchange::Exchange>,
     last_event_at: tokio::time::Instant,
@@ -46,9 +46,22 @@
     in_flight: attempt::InFlight,
 }
 
+/// Where the next events come from.
+#[derive(Debug)]
+enum Source {
+    /// The response of a server.
+    Upstream(Box<Upstream>),
+    /// No server: its response broke off behind events that have been handed over.
+    Broken(attempt::AttemptError),
+    /// No server: the stream is complete.
+    Ended,
+}
+
 /// Item read from the upstream server.
 enum UpstreamItem {
     Events(bytes::Bytes),
+    /// Events, and why none follow.
+    LastEvents(bytes::Bytes, attempt::AttemptError),
     End,
 }
 
@@ -94,18 +107,20 @@
     ) -> Result<Self, attempt::AttemptError> {
         let attempt::OpenResponse { head, parts, body, connection, in_flight } = opened;
         let mut upstream = Upstream { head, body, connection, in_flight };
-        let (first_events, upstream) = match upstream.next(&mut splitter, timeout).await {
-            Ok(UpstreamItem::Events(first_events)) => (first_events, Some(upstream)),
-            Ok(UpstreamItem::End) => {
+        let (first_events, source) = match upstream.next(&mut splitter, timeout).await? {
+            UpstreamItem::Events(first_events) => {
+                (first_events, Source::Upstream(Box::new(upstream)))
+            }
+            UpstreamItem::LastEvents(first_events, error) => (first_events, Source::Broken(error)),
+            UpstreamItem::End => {
                 upstream.finish();
-                (bytes::Bytes::new(), None)
+                (bytes::Bytes::new(), Source::Ended)
             }
-            Err(error) => return Err(error),
         };
         Ok(Self {
             head: parts,
             first_events,
-            upstream,
+            source,
             splitter,
             exchange: None,
             last_event_at: tokio::time::Instant::now(),
@@ -116,7 +131,7 @@
 
     /// Lets a break of the stream count as evidence on the server's version.
     pub fn count_break(&mut self) {
-        if let Some(upstream) = &mut self.upstream {
+        if let Source::Upstream(upstream) = &mut self.source {
             upstream.in_flight.count_break();
         }
     }
@@ -152,7 +167,12 @@
                     self.log_end();
                     return None;
                 }
-                Step::Abort(reason) => return Some(Err(StreamError(reason))),
+                Step::Abort(reason) => {
+                    // An error discards what the connection has not written yet, so that the events
+                    // before it are written first.
+                    tokio::task::yield_now().await;
+                    return Some(Err(StreamError(reason)));
+                }
             }
         }
     }
@@ -180,34 +200,41 @@
     async fn advance(&mut self) -> Step {
         // Comments show that the connection works, not that the server makes progress.
         let timeout = self.idle_timeout().saturating_sub(self.last_progress_at.elapsed());
-        let Some(upstream) = &mut self.upstream else {
-            return Step::End;
-        };
         let events_before = self.splitter.events();
-        match upstream.next(&mut self.splitter, timeout).await {
-            Ok(UpstreamItem::Events(bytes)) => {
-                if self.splitter.events() > events_before {
-                    self.last_progress_at = tokio::time::Instant::now();
-                }
+        let item = match &mut self.source {
+            Source::Upstream(upstream) => upstream.next(&mut self.splitter, timeout).await,
+            Source::Broken(_) => return self.resume().await,
+            Source::Ended => return Step::End,
+        };
+        if self.splitter.events() > events_before {
+            self.last_progress_at = tokio::time::Instant::now();
+        }
+        // Replacing the source closes the connection, which cancels the request there, before another
+        // server resumes it.
+        match item {
+            Ok(UpstreamItem::Events(bytes)) => Step::Forward(bytes),
+            Ok(UpstreamItem::LastEvents(bytes, error)) => {
+                self.source = Source::Broken(error);
                 Step::Forward(bytes)
             }
             Ok(UpstreamItem::End) => {
-                if let Some(upstream) = self.upstream.take() {
+                if let Source::Upstream(upstream) =
+                    std::mem::replace(&mut self.source, Source::Ended)
+                {
                     upstream.finish();
                 }
                 Step::End
             }
             Err(error) => {
-                // Closes the connection, which cancels the request there, before another server
-                // resumes it.
-                self.upstream = None;
-                self.resume(&error).await
+                self.source = Source::Broken(error);
+                self.resume().await
             }
         }
     }
 
-    async fn resume(&mut self, error: &attempt::AttemptError) -> Step {
-        let Some(exchange) = &mut self.exchange else {
+    /// Lets another server go on after a break.
+    async fn resume(&mut self) -> Step {
+        let (Source::Broken(error), Some(exchange)) = (&self.source, &mut self.exchange) else {
             return Step::Abort("stream has no request to resume");
         };
         log::info!(
@@ -223,7 +250,8 @@
                 let attempt::OpenResponse { head, body, connection, in_flight, .. } = opened;
                 self.splitter = sse::EventSplitter::resume_after(exchange.last_event_id);
                 self.last_progress_at = tokio::time::Instant::now();
-                self.upstream = Some(Upstream { head, body, connection, in_flight });
+                let upstream = Upstream { head, body, connection, in_flight };
+                self.source = Source::Upstream(Box::new(upstream));
                 Step::Forward(bytes::Bytes::new())
             }
             Err(reason) => Step::Abort(reason),
@@ -282,21 +310,30 @@
             let Ok(data) = frame.into_data() else { continue };
             self.in_flight.record_first_byte();
             match splitter.push(&data) {
-                Ok(events) if events.is_empty() => {}
-                Ok(events) => {
-                    if let Some(last_event_id) = splitter.last_id() {
-                        self.in_flight.record_events(last_event_id);
-                    }
+                sse::Split::Complete(events) if events.is_empty() => {}
+                sse::Split::Complete(events) => {
+                    self.record_events(splitter);
                     return Ok(UpstreamItem::Events(events));
                 }
-                Err(error) => {
+                sse::Split::Broken { events, error } => {
                     self.in_flight.record_outcome(placement::Outcome::Failed);
-                    return Err(attempt::AttemptError::Broken(error.to_string()));
+                    let error = attempt::AttemptError::Broken(error.to_string());
+                    if events.is_empty() {
+                        return Err(error);
+                    }
+                    self.record_events(splitter);
+                    return Ok(UpstreamItem::LastEvents(events, error));
                 }
             }
         }
     }
 
+    fn record_events(&mut self, splitter: &sse::EventSplitter) {
+        if let Some(last_event_id) = splitter.last_id() {
+            self.in_flight.record_events(last_event_id);
+        }
+    }
+
     fn finish(mut self) {
         self.in_flight.record_success();
         self.in_flight.release_connection(self.connection, self.head.keep_alive);
