Keep the log line about servers that did not register again

The line was merged with those about hosts and roll-outs; operators, and the test server_entry_that_expired_in_an_outage_is_kept_for_a_grace_period, look for it.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -695,11 +695,7 @@
         self.peers.send_rollout_reports();
         let expired = self.local_state.tick(now_ms);
         if !expired.is_empty() {
-            log::info!(
-                target: "toucanwall", servers:? = expired.servers, hosts:? = expired.hosts,
-                rollouts:? = expired.rollouts, used_again:? = expired.departures;
-                "not written again after an outage"
-            );
+            log_expired(&expired);
             self.watch_hosts(object::Kind::Hosts);
             self.publish();
         }
@@ -749,6 +745,24 @@
     );
 }
 
+fn log_expired(expired: &local_state::Expired) {
+    if !expired.servers.is_empty() {
+        log::info!(target: "toucanwall", servers:? = expired.servers; "servers did not re-register after an outage");
+    }
+    if !expired.hosts.is_empty() || !expired.rollouts.is_empty() {
+        log::info!(
+            target: "toucanwall", hosts:? = expired.hosts, rollouts:? = expired.rollouts;
+            "entries were not written again after the store was restored"
+        );
+    }
+    if !expired.departures.is_empty() {
+        log::info!(
+            target: "toucanwall", servers:? = expired.departures;
+            "entries of servers that had left did not expire; using the servers again"
+        );
+    }
+}
+
 fn log_malformed<E>(error: &E)
 where
     E: std::error::Error,
