Confirm each kind of object, and hold new versions until roll-outs are known

Cause: a waiting call whose answer is lost looks like one without changes. The probe looked for changes of the configuration only, so that other kinds stayed unknown until the call timed out, after 16.5 s; and servers of a version whose order is not known are ordinary ones.

Change: the probe's answer states the store's revision, which confirms all kinds while nothing changes; after a change each other kind is checked by a stale read. What a waiting call does not tell in time is listed again. A version that is new to a host gets no requests until roll-outs are known up to its registration, for contact_ms at most.

--- a/crates/daemon/tests/gateway_fleet/mod.rs
+++ b/crates/daemon/tests/gateway_fleet/mod.rs
@@ -394,6 +394,12 @@
         fs::read_to_string(self.log_file(index)).unwrap_or_default()
     }
 
+    /// The log lines of all hosts.
+    pub fn logs(&self) -> String {
+        let logs = (0..self.hosts.len()).map(|index| format!("host {index}:\n{}", self.log(index)));
+        logs.collect::<Vec<_>>().join("\n")
+    }
+
     async fn get(&self, address: net::SocketAddr, path: &str) -> Option<Response> {
         let request = hyper::Request::get(format!("http://{address}{path}"));
         self.request(request.body(Body::default()).expect("a valid request")).await
--- a/crates/daemon/tests/recorded.rs
+++ b/crates/daemon/tests/recorded.rs
@@ -74,7 +74,9 @@
             if let Some(answers_pings) = fields.get("answers_pings") {
                 assert_eq!(*answers_pings, Value::Bool(true));
             }
-            let known = fields.iter().filter(|(name, _)| *name != "answers_pings");
+            // The earlier build ignores fields that it does not know.
+            let later = ["answers_pings", "era", "order_era"];
+            let known = fields.iter().filter(|(name, _)| !later.contains(&name.as_str()));
             known.map(|(name, value)| (name.clone(), without_later_fields(value))).collect()
         }
         Value::Array(items) => items.iter().map(without_later_fields).collect(),
@@ -257,7 +259,8 @@
     assert_eq!((&routes[0][1], &routes[0][2]), (&Value::from(1), &Value::from(1)));
     let expected = r#"[{"service":"desk","order_revision":6,"answers":1,"bad":1}]"#;
     let expected: Value = serde_json::from_str(expected).expect("JSON");
-    assert_eq!(shape(&report), shape(&expected));
+    assert_eq!(report[0]["order_era"], Value::from(1), "the era that the store states");
+    assert_eq!(shape(&without_later_fields(&report)), shape(&expected));
     for field in ["service", "order_revision", "bad"] {
         assert_eq!(report[0][field], expected[0][field], "{field}");
     }
--- a/crates/daemon/tests/restored_store.rs
+++ b/crates/daemon/tests/restored_store.rs
@@ -81,10 +81,6 @@
         self.servers[server].arrivals().len() - before
     }
 
-    fn logs(&self) -> String {
-        (0..HOSTS).map(|host| format!("host {host}:\n{}", self.fleet.log(host))).collect()
-    }
-
     async fn statuses(&self, key: &str) -> Vec<Option<u16>> {
         let mut statuses = Vec::new();
         for host in 0..HOSTS {
@@ -113,7 +109,7 @@
     scenario.fleet.store.put("config", "main", &next);
     tokio::time::sleep(gateway_fleet::CONFIG_APPLY_LIMIT).await;
     let statuses = scenario.statuses("Token key-2").await;
-    assert_eq!(statuses, vec![Some(401); HOSTS], "{}", scenario.logs());
+    assert_eq!(statuses, vec![Some(401); HOSTS], "{}", scenario.fleet.logs());
 }
 
 /// Guards against a withdrawn key that works again because the copy still holds it.
@@ -131,7 +127,7 @@
     for _ in 0..8 {
         tokio::time::sleep(time::Duration::from_millis(500)).await;
         let statuses = scenario.statuses("Token key-2").await;
-        assert_eq!(statuses, vec![Some(401); HOSTS], "{}", scenario.logs());
+        assert_eq!(statuses, vec![Some(401); HOSTS], "{}", scenario.fleet.logs());
     }
 }
 
@@ -154,8 +150,8 @@
     tokio::time::sleep(CONTACT).await;
     scenario.fleet.register("desk", &scenario.servers[0], "draining");
     tokio::time::sleep(DRAIN_LIMIT).await;
-    assert_eq!(scenario.probe(0).await, 0, "{}", scenario.logs());
-    assert!(scenario.probe(1).await > 0, "{}", scenario.logs());
+    assert_eq!(scenario.probe(0).await, 0, "{}", scenario.fleet.logs());
+    assert!(scenario.probe(1).await > 0, "{}", scenario.fleet.logs());
 }
 
 /// Guards against a server that had left, and is used again because the copy still holds its entry.
@@ -173,12 +169,12 @@
     // The platform removes the entry after three heartbeat intervals of silence.
     let restored_at = time::Instant::now();
     while restored_at.elapsed() < time::Duration::from_millis(3_600) {
-        assert_eq!(scenario.probe(0).await, 0, "{}", scenario.logs());
+        assert_eq!(scenario.probe(0).await, 0, "{}", scenario.fleet.logs());
         tokio::time::sleep(time::Duration::from_millis(100)).await;
     }
     scenario.fleet.store.delete("servers", "s-1");
     tokio::time::sleep(CONTACT).await;
-    assert_eq!(scenario.probe(0).await, 0, "{}", scenario.logs());
+    assert_eq!(scenario.probe(0).await, 0, "{}", scenario.fleet.logs());
 }
 
 /// Guards against a live server that stays unused because its entry had once been removed.
@@ -207,13 +203,13 @@
     scenario.fleet.wait_for("the server to be used", is_used).await;
     scenario.restore(copy, how).await;
     tokio::time::sleep(time::Duration::from_millis(1_300)).await;
-    assert!(scenario.probe(2).await > 0, "{}", scenario.logs());
+    assert!(scenario.probe(2).await > 0, "{}", scenario.fleet.logs());
     scenario.fleet.register("desk", &scenario.servers[2], "ready");
     tokio::time::sleep(CONTACT).await;
-    assert!(scenario.probe(2).await > 0, "{}", scenario.logs());
+    assert!(scenario.probe(2).await > 0, "{}", scenario.fleet.logs());
     scenario.fleet.store.delete("servers", "s-3");
     tokio::time::sleep(DRAIN_LIMIT).await;
-    assert_eq!(scenario.probe(2).await, 0, "{}", scenario.logs());
+    assert_eq!(scenario.probe(2).await, 0, "{}", scenario.fleet.logs());
 }
 
 /// Guards against hosts that the others no longer know because the store has lost their entries.
@@ -245,7 +241,7 @@
         for host in 0..HOSTS {
             let response = scenario.fleet.resolve(host).await.expect("a response");
             let is_complete = addresses.iter().all(|address| response.body.contains(address));
-            assert!(is_complete, "host {host}: {}\n{}", response.body, scenario.logs());
+            assert!(is_complete, "host {host}: {}\n{}", response.body, scenario.fleet.logs());
         }
         tokio::time::sleep(time::Duration::from_millis(100)).await;
     }
@@ -273,7 +269,12 @@
     let ordered_at = time::Instant::now();
     let is_begun = async || rollout_state(&store, "desk") == "in_progress";
     scenario.fleet.wait_for("the roll-out to begin", is_begun).await;
-    assert!(ordered_at.elapsed() < CONTACT, "{:?}\n{}", ordered_at.elapsed(), scenario.logs());
+    assert!(
+        ordered_at.elapsed() < CONTACT,
+        "{:?}\n{}",
+        ordered_at.elapsed(),
+        scenario.fleet.logs()
+    );
 }
 
 /// Guards against a bad version that is tried again because the store has lost the decision.
@@ -312,8 +313,8 @@
     while restored_at.elapsed() < CONTACT {
         scenario.probe(0).await;
     }
-    assert_eq!(bad.arrivals().len(), before, "{}", scenario.logs());
-    assert_eq!(rollout_state(&store, "desk"), "reverted", "{}", scenario.logs());
+    assert_eq!(bad.arrivals().len(), before, "{}", scenario.fleet.logs());
+    assert_eq!(rollout_state(&store, "desk"), "reverted", "{}", scenario.fleet.logs());
 }
 
 /// Guards against a listing of the earlier era, or none at all, behind each form of the header.
@@ -333,7 +334,7 @@
     scenario.fleet.store.put("config", "main", &next);
     tokio::time::sleep(gateway_fleet::CONFIG_APPLY_LIMIT).await;
     let statuses = scenario.statuses("Token key-2").await;
-    assert_eq!(statuses, vec![Some(401); HOSTS], "{}", scenario.logs());
+    assert_eq!(statuses, vec![Some(401); HOSTS], "{}", scenario.fleet.logs());
 }
 
 /// Guards against a host that is of an earlier era than the others: two drills in a row, and a host
@@ -356,7 +357,7 @@
     scenario.fleet.store.put("config", "main", &next);
     tokio::time::sleep(gateway_fleet::CONFIG_APPLY_LIMIT).await;
     let statuses = scenario.statuses("Token key-2").await;
-    assert_eq!(statuses, vec![Some(401); HOSTS], "{}", scenario.logs());
+    assert_eq!(statuses, vec![Some(401); HOSTS], "{}", scenario.fleet.logs());
 }
 
 fn order_rollout(fleet: &GatewayFleet, service: &str, version: &str) {
@@ -382,6 +383,8 @@
     scenario.restore(copy, Return::Unnoticed).await;
     let is_written = async || store.get("toucanwall-crashes", name).is_some();
     scenario.fleet.wait_for("the block to be written again", is_written).await;
+    // Until all hosts have seen it, any of them may write it.
+    tokio::time::sleep(CONTACT).await;
     store.delete("toucanwall-crashes", name);
     tokio::time::sleep(CONTACT).await;
     assert!(store.get("toucanwall-crashes", name).is_none(), "a removed block stays removed");
--- a/crates/gateway/src/change_feed.rs
+++ b/crates/gateway/src/change_feed.rs
@@ -138,7 +138,8 @@
 
     /// Watches the store until this host's role is to subscribe and a relay accepts it.
     async fn watch_store(&mut self) -> Source {
-        let tracker = reachability::Tracker::new();
+        let max_age_ms = self.inputs.settings.bounds.contact_ms * 2 / 3;
+        let tracker = reachability::Tracker::new(self.inputs.clock, max_age_ms);
         let watchers = self.start_watchers(&tracker);
         self.inputs.relay.set_tracker(Some(tracker));
         log::info!(target: "toucanwall", "receiving changes from the store");
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -182,9 +182,10 @@
             Arc::clone(&inputs.limits),
             inputs.clock,
         );
+        let version_wait_ms = inputs.settings.bounds.contact_ms;
         Self {
             inputs,
-            local_state: local_state::LocalState::new(),
+            local_state: local_state::LocalState::new(version_wait_ms),
             writes,
             relay,
             peers,
@@ -411,7 +412,7 @@
             log_outdated(kind, position, known);
             return false;
         }
-        self.positions.insert(kind, position);
+        self.set_position(kind, position);
         if position.era > self.era {
             let is_restored = !self.era.is_unstated();
             self.era = position.era;
@@ -430,10 +431,17 @@
             log_outdated(kind, position, known);
             return false;
         }
-        self.positions.insert(kind, position);
+        self.set_position(kind, position);
         true
     }
 
+    fn set_position(&mut self, kind: object::Kind, position: position::Position) {
+        self.positions.insert(kind, position);
+        if kind == object::Kind::Rollouts {
+            self.local_state.set_rollouts_position(position);
+        }
+    }
+
     /// Keeps what the restored store may have lost until its writers have written it again.
     fn store_restored(&mut self, now_ms: u64) {
         let bounds = &self.inputs.settings.bounds;
@@ -463,11 +471,13 @@
             }
             object::Kind::Servers => {
                 let servers = objects.iter().filter_map(|object| {
-                    registration::decode(object).map_err(|error| log_malformed(&error)).ok()
+                    let server = registration::decode(object);
+                    let server = server.map_err(|error| log_malformed(&error)).ok()?;
+                    Some(registered(server, object, era))
                 });
                 let servers: Vec<_> = servers.collect();
-                for server in &servers {
-                    self.note_readiness(server, now_ms);
+                for registration in &servers {
+                    self.note_readiness(&registration.server, now_ms);
                 }
                 self.local_state.replace_servers(servers, now_ms);
             }
@@ -509,7 +519,8 @@
                         revision = change.object.metadata.revision; "server entry"
                     );
                     self.note_readiness(&server, now_ms);
-                    self.local_state.put_server(server);
+                    let registration = registered(server, &change.object, position.era);
+                    self.local_state.put_server(registration, now_ms);
                 }
                 Err(error) => {
                     log_malformed(&error);
@@ -733,6 +744,15 @@
     }
 }
 
+fn registered(
+    server: server::BackendServer,
+    object: &object::Object,
+    era: position::Era,
+) -> local_state::Registration {
+    let created = position::Position::new(era, object.metadata.created_revision);
+    local_state::Registration { server, created }
+}
+
 /// Name of an object in the store, and the position of its last change.
 fn stored_at(object: &object::Object, era: position::Era) -> (&Arc<str>, position::Position) {
     (&object.metadata.name, position::Position::new(era, object.metadata.revision))
@@ -755,6 +775,12 @@
             "entries were not written again after the store was restored"
         );
     }
+    if !expired.versions.is_empty() {
+        log::warn!(
+            target: "toucanwall", versions:? = expired.versions;
+            "using new versions although roll-outs are not known up to their registration"
+        );
+    }
     if !expired.departures.is_empty() {
         log::info!(
             target: "toucanwall", servers:? = expired.departures;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,7 @@
     retry_window: ServiceGaugeFamily,
     connections: CounterFamily,
     store_calls: CounterFamily,
+    lost_watches: CounterFamily,
     change_sources: CounterFamily,
     answer_seconds: histogram::Histogram,
     first_byte_seconds: histogram::Histogram,
@@ -82,6 +83,12 @@
         registry.register("server_connections", "connections by age", connections.clone());
         let store_calls = CounterFamily::default();
         registry.register("store_calls", "calls to the platform's store", store_calls.clone());
+        let lost_watches = CounterFamily::default();
+        registry.register(
+            "lost_watches",
+            "waiting calls to the store that were found lost, by kind of object",
+            lost_watches.clone(),
+        );
         let change_sources = CounterFamily::default();
         let help = "times that a host began to hear of changes from a source";
         registry.register("news_sources", help, change_sources.clone());
@@ -114,6 +121,7 @@
             retry_window,
             connections,
             store_calls,
+            lost_watches,
             change_sources,
             answer_seconds,
             first_byte_seconds,
@@ -230,6 +238,11 @@
         self.store_calls.get_or_create(&vec![("kind", kind), ("outcome", outcome)]).inc();
     }
 
+    /// Records that a waiting call for changes of a kind was lost.
+    pub fn record_lost_watch(&self, kind: &'static str) {
+        self.lost_watches.get_or_create(&vec![("kind", kind)]).inc();
+    }
+
     /// Records that the host now receives changes from the store or from another host.
     pub fn record_change_source(&self, source: &'static str) {
         self.change_sources.get_or_create(&vec![("source", source)]).inc();
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -3,8 +3,12 @@
 use std::sync::Arc;
 use std::time;
 
+use toucanwall_platform::object;
+use toucanwall_policy::freshness;
 use toucanwall_routing::position;
 
+use crate::clock;
+
 /// Time after an invalidation in which further ones are ignored, in milliseconds, since a single
 /// cause breaks several calls at about the same time.
 const INVALIDATION_DEBOUNCE_MS: u64 = 300;
@@ -27,20 +31,23 @@
     answered_at: Arc<std::sync::Mutex<tokio::time::Instant>>,
     /// When pending calls were last invalidated.
     invalidated_at: Arc<std::sync::Mutex<Option<tokio::time::Instant>>>,
-    /// Position up to which changes of the configuration are known; `None` before the first list.
-    configuration_position: Arc<std::sync::Mutex<Option<position::Position>>>,
+    clock: clock::Clock,
+    /// What is known of each kind of object.
+    freshness: Arc<std::sync::Mutex<freshness::Freshness<object::Kind>>>,
 }
 
 impl Tracker {
-    /// Creates a tracker that assumes that the store is reachable.
+    /// Creates a tracker that assumes that the store is reachable. What is not confirmed for
+    /// `max_age_ms` is taken to be outdated.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(clock: clock::Clock, max_age_ms: u64) -> Self {
         let (state, _) = tokio::sync::watch::channel(Reachability { is_reachable: true, epoch: 0 });
         Self {
             state,
             answered_at: Arc::new(std::sync::Mutex::new(tokio::time::Instant::now())),
             invalidated_at: Arc::new(std::sync::Mutex::new(None)),
-            configuration_position: Arc::default(),
+            clock,
+            freshness: Arc::new(std::sync::Mutex::new(freshness::Freshness::new(max_age_ms))),
         }
     }
 
@@ -95,24 +102,57 @@
         self.answered_at.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// Records the position up to which changes of the configuration are known.
-    pub fn set_configuration_position(&self, position: Option<position::Position>) {
-        *self.lock_configuration_position() = position;
+    /// Records that the objects of a kind were listed, or that the waiting call has answered. It then
+    /// tells of changes within `max_lag_ms`.
+    pub fn record_kind(&self, kind: object::Kind, position: position::Position, max_lag_ms: u64) {
+        self.lock_freshness().record_answer(kind, position, max_lag_ms, self.clock.now_ms());
+    }
+
+    /// Records that nothing is known of a kind until its objects are listed.
+    pub fn forget_kind(&self, kind: object::Kind) {
+        self.lock_freshness().forget(kind);
     }
 
-    /// Position up to which changes of the configuration are known; `None` before the first list.
+    /// Position up to which the waiting call of a kind has told of changes.
     #[must_use]
-    pub fn configuration_position(&self) -> Option<position::Position> {
-        *self.lock_configuration_position()
+    pub fn known_position(&self, kind: object::Kind) -> Option<position::Position> {
+        self.lock_freshness().known(kind)
     }
 
-    fn lock_configuration_position(&self) -> std::sync::MutexGuard<'_, Option<position::Position>> {
-        self.configuration_position.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    /// All kinds of which something is known, with the positions up to which it is.
+    #[must_use]
+    pub fn known_kinds(&self) -> Vec<(object::Kind, position::Position)> {
+        self.lock_freshness().all_known()
+    }
+
+    /// Records that the store is at a position; returns the kinds that this does not confirm, with the
+    /// positions up to which they are known.
+    #[must_use]
+    pub fn record_position(
+        &self,
+        store: position::Position,
+    ) -> Vec<(object::Kind, position::Position)> {
+        self.lock_freshness().record_position(store, self.clock.now_ms())
+    }
+
+    /// Records a check for changes of a kind after the position `base`.
+    #[must_use]
+    pub fn record_check(
+        &self,
+        kind: object::Kind,
+        base: position::Position,
+        check: freshness::Check,
+    ) -> freshness::Verdict {
+        self.lock_freshness().record_check(kind, base, check, self.clock.now_ms())
+    }
+
+    /// When a kind has to be checked again that a check has found changed.
+    #[must_use]
+    pub fn next_check(&self) -> Option<tokio::time::Instant> {
+        self.lock_freshness().next_check_ms().map(|at_ms| self.clock.instant_at(at_ms))
     }
-}
 
-impl Default for Tracker {
-    fn default() -> Self {
-        Self::new()
+    fn lock_freshness(&self) -> std::sync::MutexGuard<'_, freshness::Freshness<object::Kind>> {
+        self.freshness.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
--- a/crates/gateway/src/store_event.rs
+++ b/crates/gateway/src/store_event.rs
@@ -47,6 +47,18 @@
     pub changes: Vec<object::Change>,
 }
 
+impl ChangeSet {
+    /// Tells that a kind has not changed between two positions.
+    #[must_use]
+    pub fn unchanged(
+        kind: object::Kind,
+        base: position::Position,
+        position: position::Position,
+    ) -> Self {
+        Self { kind, base_revision: base.revision, position, changes: Vec::new() }
+    }
+}
+
 impl Event {
     /// States the era of an event from a relay of an earlier build, which states none.
     pub fn assume_era(&mut self, era: position::Era) {
--- a/crates/gateway/src/store_probe.rs
+++ b/crates/gateway/src/store_probe.rs
@@ -1,11 +1,15 @@
 //! Probes the platform's store with the cheapest call available: about once a second, or more often
 //! while the store is unreachable or other hosts subscribe to this one.
+//!
+//! The answer also shows whether anything has changed. If so, each kind of object that this does not
+//! confirm is checked for changes that its waiting call has not told of.
 
 use std::sync::Arc;
 use std::time;
 
 use toucanwall_platform::object;
 use toucanwall_platform::store;
+use toucanwall_policy::freshness;
 use toucanwall_routing::position;
 
 use crate::metrics;
@@ -22,9 +26,6 @@
 /// Time for a probe that also looks for changes, in milliseconds. While the store drops its history,
 /// it leaves such calls unanswered and still answers others.
 const CHANGES_TIMEOUT_MS: u64 = 300;
-/// Time for which a probe may see changes that the pending call has not returned, in milliseconds:
-/// longer than the batching delay.
-const MAX_LAG_MS: u64 = 1_000;
 
 /// Dependencies of a store probe.
 #[derive(Debug)]
@@ -47,15 +48,13 @@
 #[derive(Debug)]
 pub struct StoreProbe {
     inputs: Inputs,
-    /// Known configuration position that a probe found outdated, and when a probe first found that.
-    lag: Option<(position::Position, tokio::time::Instant)>,
 }
 
 impl StoreProbe {
     /// Creates a probe that has not called the store yet.
     #[must_use]
     pub fn new(inputs: Inputs) -> Self {
-        Self { inputs, lag: None }
+        Self { inputs }
     }
 
     /// Probes the store until the receiver of events is closed.
@@ -74,69 +73,142 @@
                 log::debug!(target: "toucanwall", "receiver of store events is closed");
             }
             is_first = false;
-            wait_for_next_probe(is_reachable, &mut subscriber_count).await;
+            let next_check = self.inputs.tracker.next_check().filter(|_| is_reachable);
+            let probing = wait_for_next_probe(is_reachable, &mut subscriber_count);
+            match next_check {
+                Some(at) => drop(tokio::time::timeout_at(at, probing).await),
+                None => probing.await,
+            }
         }
     }
 
     /// Makes one probe; any kind of answer means that the store is reachable.
     async fn probe(&mut self) -> Result<(), store::StoreError> {
-        let Inputs { store, host, tracker, metrics, .. } = &mut self.inputs;
-        let mut called_at = tokio::time::Instant::now();
-        let position = tracker.configuration_position();
-        let timeout = time::Duration::from_millis(CHANGES_TIMEOUT_MS);
-        let mut looked = None;
-        if let Some(position) = position {
-            let calling = store.read_changes_stale(object::Kind::Configuration, position);
-            looked = match tokio::time::timeout(timeout, calling).await {
-                Ok(Err(store::StoreError::ConnectionLost(_))) | Err(_) => None,
-                Ok(result) => Some(result),
-            };
-            if looked.is_none() {
-                metrics.record_store_call("pulse", true);
+        let kind = object::Kind::Configuration;
+        let called_at = tokio::time::Instant::now();
+        let Some(known) = self.inputs.tracker.known_position(kind) else {
+            return self.read_own_entry().await;
+        };
+        match self.check(kind, known).await {
+            Looked::Unanswered => {
+                for (kind, known) in self.inputs.tracker.known_kinds() {
+                    self.conclude(kind, known, freshness::Check::Unanswered);
+                }
+                self.read_own_entry().await
+            }
+            Looked::Failed(error) if error.is_outage() => Err(error),
+            Looked::Failed(_) => {
+                self.inputs.tracker.record_answer(called_at);
+                Ok(())
+            }
+            Looked::Answered(check, position) => {
+                self.inputs.tracker.record_answer(called_at);
+                self.conclude(kind, known, check);
+                if let Some(position) = position {
+                    self.check_other_kinds(position).await;
+                }
+                Ok(())
             }
         }
-        let result = if let Some(changes) = looked {
-            changes.map(|changes| !changes.events.is_empty())
-        } else {
-            // A lost connection says nothing about the store until a new one was tried.
-            store.disconnect();
-            called_at = tokio::time::Instant::now();
-            store.read_stale(object::Kind::Hosts, host).await.map(|_| false)
-        };
+    }
+
+    /// Reads one object on a new connection; a lost connection says nothing about the store until a
+    /// new one was tried.
+    async fn read_own_entry(&mut self) -> Result<(), store::StoreError> {
+        let Inputs { store, host, tracker, metrics, .. } = &mut self.inputs;
+        store.disconnect();
+        let called_at = tokio::time::Instant::now();
+        let result = store.read_stale(object::Kind::Hosts, host).await;
         metrics.record_store_call("pulse", result.is_err());
-        if result.as_ref().err().is_none_or(|error| !error.is_outage()) {
-            tracker.record_answer(called_at);
-        }
         match result {
             Err(error) if error.is_outage() => Err(error),
-            Err(store::StoreError::HistoryExpired) | Ok(true) => {
-                self.check_lag(position.unwrap_or_default());
-                Ok(())
-            }
             _ => {
-                self.lag = None;
+                tracker.record_answer(called_at);
                 Ok(())
             }
         }
     }
 
-    /// Invalidates pending calls if they have not returned known changes within [`MAX_LAG_MS`],
-    /// since they will not return them any more.
-    fn check_lag(&mut self, position: position::Position) {
-        let now = tokio::time::Instant::now();
-        let since = match self.lag {
-            Some((known, since)) if known == position => since,
-            _ => now,
-        };
-        self.lag = Some((position, since));
-        if now.duration_since(since) >= time::Duration::from_millis(MAX_LAG_MS) {
-            log::warn!(target: "toucanwall", position:? = position; "pending watch call was lost; repeating it");
-            self.inputs.tracker.invalidate_pending_calls();
-            self.lag = None;
+    /// Checks the kinds that are not known to be unchanged up to the store's position.
+    async fn check_other_kinds(&mut self, store: position::Position) {
+        for (kind, known) in self.inputs.tracker.record_position(store) {
+            if kind == object::Kind::Configuration {
+                continue;
+            }
+            match self.check(kind, known).await {
+                Looked::Answered(check, _) => self.conclude(kind, known, check),
+                Looked::Unanswered => {
+                    self.inputs.store.disconnect();
+                    self.conclude(kind, known, freshness::Check::Unanswered);
+                    return;
+                }
+                Looked::Failed(error) => {
+                    log::info!(
+                        target: "toucanwall", kind = kind.as_str(), why = error.to_string();
+                        "cannot check whether changes were missed"
+                    );
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Asks the store for changes of a kind after a position, without waiting for one.
+    async fn check(&mut self, kind: object::Kind, known: position::Position) -> Looked {
+        let timeout = time::Duration::from_millis(CHANGES_TIMEOUT_MS);
+        let calling = self.inputs.store.read_changes_stale(kind, known);
+        let result = tokio::time::timeout(timeout, calling).await;
+        let has_failed = !matches!(result, Ok(Ok(_)));
+        self.inputs.metrics.record_store_call("pulse", has_failed);
+        match result {
+            Ok(Ok(changes)) if changes.events.is_empty() => {
+                let check = freshness::Check::Unchanged(changes.position);
+                Looked::Answered(check, Some(changes.position))
+            }
+            Ok(Ok(changes)) => Looked::Answered(freshness::Check::Changed, Some(changes.position)),
+            Ok(Err(store::StoreError::HistoryExpired)) => {
+                Looked::Answered(freshness::Check::Changed, None)
+            }
+            Ok(Err(store::StoreError::ConnectionLost(_))) | Err(_) => Looked::Unanswered,
+            Ok(Err(error)) => Looked::Failed(error),
+        }
+    }
+
+    /// Acts on a check: makes the watchers list the objects again if a waiting call was lost, and tells
+    /// of confirmed roll-outs.
+    fn conclude(&mut self, kind: object::Kind, known: position::Position, check: freshness::Check) {
+        match self.inputs.tracker.record_check(kind, known, check) {
+            freshness::Verdict::Lost => {
+                log::warn!(
+                    target: "toucanwall", kind = kind.as_str(), known:? = known, check:? = check;
+                    "pending watch call was lost; repeating it"
+                );
+                self.inputs.metrics.record_lost_watch(kind.as_str());
+                self.inputs.tracker.invalidate_pending_calls();
+            }
+            freshness::Verdict::Confirmed(position)
+                if kind == object::Kind::Rollouts && position > known =>
+            {
+                let unchanged = store_event::ChangeSet::unchanged(kind, known, position);
+                if self.inputs.events.send(store_event::Event::Changed(unchanged)).is_err() {
+                    log::debug!(target: "toucanwall", "receiver of store events is closed");
+                }
+            }
+            freshness::Verdict::Confirmed(_) | freshness::Verdict::Pending => {}
         }
     }
 }
 
+/// Result of a call for changes.
+enum Looked {
+    /// The store answered, at a position unless it no longer knows the changes.
+    Answered(freshness::Check, Option<position::Position>),
+    /// The call failed for another reason than a lost answer.
+    Failed(store::StoreError),
+    /// The store did not answer in time, or the connection was lost.
+    Unanswered,
+}
+
 /// Waits until the next probe is due; a first subscriber shortens the wait.
 async fn wait_for_next_probe(
     is_reachable: bool,
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -26,6 +26,8 @@
 /// Longest backoff after failed calls, in milliseconds. It bounds the delay between the store's
 /// recovery and its detection by this host.
 const MAX_BACKOFF_MS: u64 = 500;
+/// Time that a call needs to tell of a change, in milliseconds, besides the batching delay.
+const ANSWER_MS: u64 = 300;
 
 /// Sends the changes of one kind of object until the receiver is closed.
 #[derive(Debug)]
@@ -150,8 +152,11 @@
     /// Records the position up to which changes are known.
     fn set_position(&mut self, position: Option<position::Position>) {
         self.position = position;
-        if self.kind == object::Kind::Configuration {
-            self.tracker.set_configuration_position(position);
+        match position {
+            Some(position) => {
+                self.tracker.record_kind(self.kind, position, self.batch_ms + ANSWER_MS);
+            }
+            None => self.tracker.forget_kind(self.kind),
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod eligibility;
 pub mod escalation;
 pub mod forecast;
+pub mod freshness;
 pub mod host_monitor;
 pub mod limit;
 pub mod placement;
--- a/crates/routing/src/local_state.rs
+++ b/crates/routing/src/local_state.rs
@@ -6,6 +6,7 @@
 use crate::configuration;
 use crate::host;
 use crate::name;
+use crate::position;
 use crate::rollout;
 use crate::rollout_log;
 use crate::server;
@@ -38,6 +39,12 @@
     /// Servers whose entries were removed, with the time of the removal.
     departed: collections::BTreeMap<name::ServerId, Departure>,
     restoration: Option<Restoration>,
+    /// Versions of which servers are known, by service.
+    versions: collections::BTreeMap<(name::ServiceName, name::Version), VersionEntry>,
+    /// Position up to which roll-outs are known.
+    rollouts_position: position::Position,
+    /// Longest time for which a version waits for knowledge of roll-outs, in milliseconds.
+    version_wait_ms: u64,
     silent_hosts: collections::BTreeSet<name::HostName>,
     store: StoreState,
 }
@@ -69,6 +76,17 @@
     at_ms: u64,
 }
 
+/// A version of a service's servers.
+#[derive(Debug)]
+struct VersionEntry {
+    /// Position at which the first server of the version was registered.
+    registered: position::Position,
+    /// Until when it may wait for knowledge of roll-outs, in milliseconds.
+    waits_until_ms: u64,
+    /// Whether roll-outs are known up to the registration, or the wait is over.
+    is_covered: bool,
+}
+
 /// Until when a restored store is not taken at its word, in milliseconds.
 #[derive(Debug, Clone, Copy)]
 struct Restoration {
@@ -116,6 +134,15 @@
     Unknown,
 }
 
+/// A server's entry in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Registration {
+    /// The server.
+    pub server: server::BackendServer,
+    /// Position at which the entry was created.
+    pub created: position::Position,
+}
+
 /// What was dropped or changed because it did not reappear in the store in time.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Expired {
@@ -127,6 +154,8 @@
     pub rollouts: Vec<name::ServiceName>,
     /// Servers that had left before the store was restored, whose entries were renewed since.
     pub departures: Vec<name::ServerId>,
+    /// Versions that are used although it is not known whether they are rolled out.
+    pub versions: Vec<(name::ServiceName, name::Version)>,
 }
 
 impl Expired {
@@ -138,10 +167,11 @@
 }
 
 impl LocalState {
-    /// Creates an empty state.
+    /// Creates an empty state. Servers of a version that is new to this host get no requests until
+    /// roll-outs are known up to their registration, for `version_wait_ms` at most.
     #[must_use]
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(version_wait_ms: u64) -> Self {
+        Self { version_wait_ms, ..Self::default() }
     }
 
     /// Puts a configuration in force, unless one of the same or a newer version already is.
@@ -164,30 +194,39 @@
     }
 
     /// Replaces the list of servers; those that are not in it are treated as removed.
-    pub fn replace_servers(&mut self, servers: Vec<server::BackendServer>, now_ms: u64) {
+    pub fn replace_servers(&mut self, servers: Vec<Registration>, now_ms: u64) {
         let retains_missing = self.retains_missing(now_ms);
         let known = self.servers.get_or_insert_default();
         let listed: collections::BTreeSet<name::ServerId> =
-            servers.iter().map(|server| server.id.clone()).collect();
+            servers.iter().map(|it| it.server.id.clone()).collect();
         for (id, entry) in known.iter_mut() {
             entry.is_missing = !listed.contains(id);
         }
         if !retains_missing {
             self.remove_missing_servers(now_ms);
         }
-        for server in servers {
-            let has_departed = self.has_departed(&server, now_ms);
-            self.insert_server(server, has_departed);
+        for registration in servers {
+            let has_departed = self.has_departed(&registration.server, now_ms);
+            self.insert_server(registration, has_departed, now_ms);
         }
+        self.forget_versions();
     }
 
     /// Adds or replaces a server that has written its entry.
-    pub fn put_server(&mut self, server: server::BackendServer) {
-        self.departed.remove(&server.id);
-        self.insert_server(server, false);
+    pub fn put_server(&mut self, registration: Registration, now_ms: u64) {
+        self.departed.remove(&registration.server.id);
+        self.insert_server(registration, false, now_ms);
+        self.forget_versions();
     }
 
-    fn insert_server(&mut self, server: server::BackendServer, has_departed: bool) {
+    fn insert_server(&mut self, registration: Registration, has_departed: bool, now_ms: u64) {
+        let Registration { server, created } = registration;
+        let key = (server.service.clone(), server.version.clone());
+        self.versions.entry(key).or_insert_with(|| VersionEntry {
+            registered: created,
+            waits_until_ms: now_ms.saturating_add(self.version_wait_ms),
+            is_covered: created <= self.rollouts_position,
+        });
         let known = self.servers.get_or_insert_default();
         let id = server.id.clone();
         let entry = ServerEntry { server: Arc::new(server), is_missing: false, has_departed };
@@ -231,9 +270,33 @@
             entry.is_missing = true;
         }
         self.remove_missing_servers(now_ms);
+        self.forget_versions();
         Removal::Gone
     }
 
+    /// Records that roll-outs are known up to a position.
+    pub fn set_rollouts_position(&mut self, position: position::Position) {
+        self.rollouts_position = self.rollouts_position.max(position);
+        for entry in self.versions.values_mut() {
+            entry.is_covered |= entry.registered <= self.rollouts_position;
+        }
+    }
+
+    /// Forgets the versions of which no server is known.
+    fn forget_versions(&mut self) {
+        let servers = self.servers.iter().flat_map(collections::BTreeMap::values);
+        let used: collections::BTreeSet<_> =
+            servers.map(|it| (it.server.service.clone(), it.server.version.clone())).collect();
+        self.versions.retain(|key, _| used.contains(key));
+    }
+
+    /// Whether it is known whether the server's version is rolled out.
+    fn is_covered(&self, server: &server::BackendServer) -> bool {
+        let key = (server.service.clone(), server.version.clone());
+        self.versions.get(&key).is_none_or(|entry| entry.is_covered)
+            || self.rollouts.target_of(&server.service) == Some(&server.version)
+    }
+
     /// Records that the store was restored from a copy.
     pub fn store_restored(&mut self, now_ms: u64, times: RewriteTimes) {
         if matches!(self.store, StoreState::Available | StoreState::RecoveredSince(_)) {
@@ -268,6 +331,13 @@
         {
             self.store = StoreState::Available;
             expired.servers = self.remove_missing_servers(now_ms);
+            self.forget_versions();
+        }
+        for (key, entry) in &mut self.versions {
+            if !entry.is_covered && now_ms >= entry.waits_until_ms {
+                entry.is_covered = true;
+                expired.versions.push(key.clone());
+            }
         }
         expired.rollouts = self.rollouts.tick(now_ms);
         self.departed.retain(|_, departure| now_ms < departure.at_ms + DEPARTURE_RETENTION_MS);
@@ -398,6 +468,11 @@
                 servers.entry(server.service.clone()).or_default().push(Arc::clone(server));
             }
         }
+        for ready in servers.values_mut() {
+            if ready.iter().any(|server| self.is_covered(server)) {
+                ready.retain(|server| self.is_covered(server));
+            }
+        }
         view::View {
             configuration: self.configuration.clone(),
             store_lost_since_ms: match self.store {
--- a/crates/routing/src/rollout_log.rs
+++ b/crates/routing/src/rollout_log.rs
@@ -99,6 +99,14 @@
         expired
     }
 
+    /// The version that a service's roll-out is about.
+    #[must_use]
+    pub fn target_of(&self, service: &name::ServiceName) -> Option<&name::Version> {
+        let entry = self.entries.get(service).map(|entry| &entry.rollout);
+        let rollout = entry.or_else(|| self.carried.get(service).map(|it| &it.rollout));
+        rollout.map(|rollout| &rollout.target)
+    }
+
     /// The roll-outs by service.
     #[must_use]
     pub fn all(&self) -> collections::BTreeMap<name::ServiceName, Arc<rollout::Rollout>> {
--- a/crates/routing/tests/restored_store.rs
+++ b/crates/routing/tests/restored_store.rs
@@ -11,13 +11,14 @@
 const TIMES: local_state::RewriteTimes =
     local_state::RewriteTimes { hosts_ms: 3_000, server_expiry_ms: 4_800 };
 const DURATION_MS: u64 = 16_000;
+const VERSION_WAIT_MS: u64 = 3_000;
 
 fn era(number: u64) -> position::Era {
     position::Era::try_from(number.to_string().as_str()).expect("a number")
 }
 
-fn server(id: &str, started_unix_ms: u64) -> server::BackendServer {
-    server::BackendServer {
+fn server(id: &str, started_unix_ms: u64) -> local_state::Registration {
+    let server = server::BackendServer {
         id: id.into(),
         service: "desk".into(),
         address: "127.0.0.1:80".parse().expect("an address"),
@@ -26,7 +27,8 @@
         slots: 8,
         readiness: server::Readiness::Ready,
         started_unix_ms: Some(started_unix_ms),
-    }
+    };
+    local_state::Registration { server, created: position::Position::default() }
 }
 
 fn host(name: &str) -> host::HostEntry {
@@ -85,7 +87,7 @@
 /// Guards against servers that are dropped because a copy lacks them.
 #[rstest]
 fn servers_that_the_restored_store_lacks_are_kept_until_they_had_time_to_register() {
-    let mut state = LocalState::new();
+    let mut state = LocalState::new(VERSION_WAIT_MS);
     state.replace_servers(vec![server("s-1", 1), server("s-2", 1)], 0);
     state.store_restored(1_000, TIMES);
     state.replace_servers(vec![server("s-1", 1)], 1_000);
@@ -101,7 +103,7 @@
 #[case::removed_by_an_event(true)]
 #[case::missing_in_a_list(false)]
 fn server_that_had_left_is_not_used_while_its_entry_may_be_of_the_copy(#[case] by_event: bool) {
-    let mut state = LocalState::new();
+    let mut state = LocalState::new(VERSION_WAIT_MS);
     state.replace_servers(vec![server("s-1", 1), server("s-2", 1)], 0);
     if by_event {
         assert_eq!(state.remove_server("s-1", 500), local_state::Removal::Gone);
@@ -121,14 +123,17 @@
 #[rstest]
 #[case::writes_its_entry(server("s-1", 1), true)]
 #[case::has_started_again(server("s-1", 2), false)]
-fn server_that_is_back_is_used_at_once(#[case] back: server::BackendServer, #[case] writes: bool) {
-    let mut state = LocalState::new();
+fn server_that_is_back_is_used_at_once(
+    #[case] back: local_state::Registration,
+    #[case] writes: bool,
+) {
+    let mut state = LocalState::new(VERSION_WAIT_MS);
     state.replace_servers(vec![server("s-1", 1)], 0);
     state.remove_server("s-1", 500);
     state.store_restored(1_000, TIMES);
     if writes {
         state.replace_servers(vec![server("s-1", 1)], 1_000);
-        state.put_server(back);
+        state.put_server(back, 1_000);
     } else {
         state.replace_servers(vec![back], 1_000);
     }
@@ -138,7 +143,7 @@
 /// Without a restored store, an entry that is back shows that the server is.
 #[rstest]
 fn server_that_registers_again_without_a_loss_is_used_at_once() {
-    let mut state = LocalState::new();
+    let mut state = LocalState::new(VERSION_WAIT_MS);
     state.replace_servers(vec![server("s-1", 1)], 0);
     state.remove_server("s-1", 500);
     state.replace_servers(vec![server("s-1", 1)], 1_000);
@@ -148,7 +153,7 @@
 /// Guards against hosts that take larger shares because a copy lacks the others.
 #[rstest]
 fn hosts_that_the_restored_store_lacks_are_kept_until_they_had_time_to_register() {
-    let mut state = LocalState::new();
+    let mut state = LocalState::new(VERSION_WAIT_MS);
     state.replace_hosts(vec![host("host-1"), host("host-2")], 0);
     state.store_restored(1_000, TIMES);
     state.replace_hosts(vec![host("host-1")], 1_000);
@@ -162,7 +167,7 @@
 
 #[rstest]
 fn host_that_registers_again_or_is_removed_is_not_kept_as_missing() {
-    let mut state = LocalState::new();
+    let mut state = LocalState::new(VERSION_WAIT_MS);
     state.replace_hosts(vec![host("host-1"), host("host-2"), host("host-3")], 0);
     state.store_restored(1_000, TIMES);
     state.replace_hosts(vec![host("host-1")], 1_000);
@@ -182,7 +187,7 @@
     #[values(rollout::State::Reverted, rollout::State::Completed)] decision: rollout::State,
     #[values(rollout::State::Ordered, rollout::State::InProgress)] shown: rollout::State,
 ) {
-    let mut state = LocalState::new();
+    let mut state = LocalState::new(VERSION_WAIT_MS);
     state.put_rollout(rollout("v2", order(1, 5), decision));
     state.store_restored(1_000, TIMES);
     state.replace_rollouts(Vec::new());
@@ -198,7 +203,7 @@
 /// What another host has decided meanwhile is in the store and counts.
 #[rstest]
 fn decision_in_the_store_goes_before_a_lost_one() {
-    let mut state = LocalState::new();
+    let mut state = LocalState::new(VERSION_WAIT_MS);
     state.put_rollout(rollout("v2", order(1, 5), rollout::State::Reverted));
     state.store_restored(1_000, TIMES);
     state.put_rollout(rollout("v2", order(2, 5), rollout::State::Completed));
@@ -208,7 +213,7 @@
 /// Guards against the order before the lost one, which the copy still holds.
 #[rstest]
 fn earlier_order_in_the_copy_does_not_replace_the_lost_one() {
-    let mut state = LocalState::new();
+    let mut state = LocalState::new(VERSION_WAIT_MS);
     let earlier = rollout("v2", order(1, 5), rollout::State::Completed);
     state.put_rollout(earlier);
     state.put_rollout(rollout("v3", order(1, 9), rollout::State::InProgress));
@@ -221,7 +226,7 @@
 
 #[rstest]
 fn other_order_begins_anew() {
-    let mut state = LocalState::new();
+    let mut state = LocalState::new(VERSION_WAIT_MS);
     state.put_rollout(rollout("v2", order(1, 5), rollout::State::Reverted));
     state.store_restored(1_000, TIMES);
     state.put_rollout(rollout("v3", order(2, 5), rollout::State::Ordered));
@@ -234,7 +239,7 @@
 
 #[rstest]
 fn rollout_that_is_not_ordered_again_ends_after_its_duration() {
-    let mut state = LocalState::new();
+    let mut state = LocalState::new(VERSION_WAIT_MS);
     state.put_rollout(rollout("v2", order(1, 5), rollout::State::InProgress));
     state.store_restored(1_000, TIMES);
     state.replace_rollouts(Vec::new());
@@ -246,7 +251,7 @@
 /// The operator's decision, as opposed to a loss of the store.
 #[rstest]
 fn rollout_that_is_removed_is_not_kept() {
-    let mut state = LocalState::new();
+    let mut state = LocalState::new(VERSION_WAIT_MS);
     state.put_rollout(rollout("v2", order(1, 5), rollout::State::InProgress));
     state.store_restored(1_000, TIMES);
     state.remove_rollout("desk");
