Bound the memory that bytes of other processes take up together

Cause: the budget counted payload beyond 64 KiB of each body. What growing vectors leave behind, read buffers of up to 400 KB a connection, incomplete events and bodies of requests were not counted.

Change: one budget, a fifth of the host's memory, counts all that is kept by allocated size until it is passed on; what does not fit is given up at the largest, and the others go on. Connections are read in pieces that don't enlarge their buffers, interim responses are limited in number, and so are frames between hosts and responses of the store.

--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -1,6 +1,5 @@
 //! Servers that send bytes without end that are no response.
 
-use std::fs;
 use std::time;
 
 use rstest::rstest;
@@ -22,14 +21,6 @@
 /// Lets the cases run one after the other, since each measures times under load.
 static TURN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
 
-/// Largest amount of memory that a host has used so far.
-fn peak_memory_kib(fleet: &GatewayFleet) -> u64 {
-    let path = format!("/proc/{}/status", fleet.hosts[0].child.id());
-    let status = fs::read_to_string(path).expect("the host runs");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
-    line.trim_end_matches("kB").trim().parse().expect("a number")
-}
-
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_response_ends_with_an_error(
@@ -82,11 +73,108 @@
     println!(
         "{endless:?}: {elapsed:?}, peak {} KiB, {} bytes sent in {runs} runs, {closed} closed, \
          slowest other {slowest:?}",
-        peak_memory_kib(&fleet),
+        fleet.peak_memory_kib(0),
         server.endless_bytes()
     );
     assert!(elapsed < TIME_LIMIT, "{elapsed:?}");
-    assert!(peak_memory_kib(&fleet) < MEMORY_LIMIT_KIB, "{} KiB", peak_memory_kib(&fleet));
+    assert!(fleet.peak_memory_kib(0) < MEMORY_LIMIT_KIB, "{} KiB", fleet.peak_memory_kib(0));
     assert_eq!(closed, runs, "the connections are closed");
     assert!(slowest < LATENCY_LIMIT, "another service's request took {slowest:?}");
 }
+
+/// Services of which all servers send bytes without end.
+const SERVICES: [&str; 3] = ["first", "second", "third"];
+/// Concurrent requests to all of them together.
+const MANY_REQUESTS: usize = 600;
+/// Requests to a sound service meanwhile of which none may fail.
+const SOUND_REQUESTS: usize = 20;
+
+/// The test configuration with a route of each kind to each service.
+fn configuration_with_services() -> serde_json::Value {
+    let mut configuration = gateway_fleet::configuration(2);
+    for service in SERVICES {
+        for (index, prefix) in [(0, "read"), (2, "chat")] {
+            let mut route = configuration["routes"][index].clone();
+            route["name"] = format!("r-{prefix}-{service}").into();
+            route["path_prefix"] = format!("/{prefix}-{service}/").into();
+            route["service"] = service.into();
+            configuration["routes"].as_array_mut().expect("a list").push(route);
+        }
+        let mut entry = configuration["services"][0].clone();
+        entry["name"] = service.into();
+        entry["max_connections"] = 800.into();
+        configuration["services"].as_array_mut().expect("a list").push(entry);
+    }
+    configuration
+}
+
+/// Guards against a host that ends for lack of memory, and takes the requests of others with it.
+#[rstest]
+#[case::one_server(1, 1)]
+#[case::all_servers_of_a_service(1, 10)]
+#[case::all_servers_of_several_services(3, 4)]
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_stays_bounded_while_many_servers_send_bytes_without_end(
+    #[case] services: usize,
+    #[case] servers_per_service: usize,
+    #[values(
+        Endless::HeaderLine,
+        Endless::Headers,
+        Endless::Interim,
+        Endless::Body,
+        Endless::UnframedBody,
+        Endless::ChunkExtension,
+        Endless::Trailers,
+        Endless::Comments,
+        Endless::Event,
+        Endless::Events
+    )]
+    endless: Endless,
+) {
+    let _turn = TURN.lock().await;
+    let mut fleet = GatewayFleet::prepare().await;
+    fleet.memory_mb = Some(160);
+    fleet.store.put("config", "main", &configuration_with_services());
+    let sound = backend::Backend::start("s-sound", backend::Behaviour::Respond).await;
+    fleet.register("desk", &sound, "ready");
+    let mut servers = Vec::new();
+    for service in &SERVICES[..services] {
+        for number in 0..servers_per_service {
+            let id = format!("s-{service}-{number}");
+            let server = backend::Backend::start(&id, backend::Behaviour::Endless(endless)).await;
+            fleet.register_large(service, &server);
+            servers.push(server);
+        }
+    }
+    fleet.add_ready_host().await;
+    let (method, prefix) = if endless.is_stream() { ("POST", "chat") } else { ("GET", "read") };
+    let requests: Vec<_> = (0..MANY_REQUESTS)
+        .map(|number| {
+            let path = format!("/{prefix}-{}/x", SERVICES[number % services]);
+            let request = fleet.prepare_request(0, method, &path, &format!("r-{number}"));
+            tokio::spawn(request.send())
+        })
+        .collect();
+    let mut failed = Vec::new();
+    for _ in 0..SOUND_REQUESTS {
+        let response = fleet.send(0, "GET", "/read/x", &[]).await;
+        let status = response.map(|response| response.status);
+        failed.extend(Some(status).filter(|status| *status != Some(200)));
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+    for request in requests {
+        let response = request.await.expect("no panic");
+        let is_served =
+            response.is_some_and(|response| response.status == 200 && response.is_complete);
+        assert!(!is_served, "no response can be complete");
+    }
+    let runs: usize = servers.iter().map(|server| server.executed().len()).sum();
+    let sent: usize = servers.iter().map(backend::Backend::endless_bytes).sum();
+    let peak_kib = fleet.peak_memory_kib(0);
+    println!(
+        "{endless:?}, {services} x {servers_per_service}: {peak_kib} KiB, {runs} runs, {sent} bytes"
+    );
+    assert!(peak_kib < MEMORY_LIMIT_KIB, "{peak_kib} KiB");
+    assert_eq!(failed, [], "requests to a sound service");
+    assert!(fleet.is_ready(0).await);
+}
--- a/crates/daemon/tests/gateway_fleet/mod.rs
+++ b/crates/daemon/tests/gateway_fleet/mod.rs
@@ -42,6 +42,9 @@
     pub retry_allowance: Option<u64>,
     /// Time between SIGTERM and the end of hosts that are started from now on, in seconds.
     pub grace_s: u64,
+    /// Memory in the settings of hosts that are started from now on, in megabytes; `None` if they do
+    /// not state it.
+    pub memory_mb: Option<u64>,
     /// Address of the store in the settings of hosts that are started from now on.
     pub store_address: net::SocketAddr,
     temp_dir: tempfile::TempDir,
@@ -180,6 +183,7 @@
         Self {
             retry_allowance: None,
             grace_s: GRACE_S,
+            memory_mb: None,
             store_address: store.address,
             store,
             hosts: Vec::new(),
@@ -212,6 +216,13 @@
         self.store.put("servers", &server.id, &spec);
     }
 
+    /// Registers a server that runs as many requests as any test sends.
+    pub fn register_large(&self, service: &str, server: &backend::Backend) {
+        let mut spec = server_entry(service, server.address, "v1", "ready");
+        spec["slots"] = 1_000.into();
+        self.store.put("servers", &server.id, &spec);
+    }
+
     /// Registers a run of a server that started at the given time.
     pub fn register_run(&self, service: &str, server: &backend::Backend, born: u64) {
         let mut spec = server_entry(service, server.address, "v1", "ready");
@@ -347,6 +358,14 @@
         self.address(index, CALLER_PORT)
     }
 
+    /// Largest amount of memory that a host has used so far, in kibibytes.
+    pub fn peak_memory_kib(&self, index: usize) -> u64 {
+        let path = format!("/proc/{}/status", self.hosts[index].child.id());
+        let status = fs::read_to_string(path).expect("the host runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        line.trim_end_matches("kB").trim().parse().expect("a number")
+    }
+
     /// Sends a signal to a host; returns whether its process existed.
     pub fn signal(&self, index: usize, signal: &str) -> bool {
         let pid = self.hosts[index].child.id().to_string();
@@ -415,6 +434,9 @@
 
     fn settings_yaml(&self, index: usize, ip: net::Ipv4Addr) -> String {
         let (store, grace_s) = (self.store_address, self.grace_s);
+        let limits = self
+            .memory_mb
+            .map_or_else(String::new, |memory_mb| format!("limits:\n  memory_mb: {memory_mb}\n"));
         let (ratio, allowance) = self.retry_allowance.map_or((0.9, 52), |extra| (0.0, extra));
         format!(
             "node_name: host-{index}\nzone: dc-1\nregion: r\nip: {ip}\nheartbeat_ms: 1200\n\
@@ -422,7 +444,7 @@
              internal_ports:\n  - {FIRST_INTERNAL_PORT}\n  - {LAST_INTERNAL_PORT}\n\
              bounds:\n  contact_ms: 3000\n  config_apply_ms: 2000\n  drain_ms: 2000\n  grace_s: {grace_s}\n  \
              retry_budget_ratio: {ratio}\n  budget_window_s: 10\n  retry_allowance: {allowance}\n\
-             platform:\n  address: {store}\n"
+             platform:\n  address: {store}\n{limits}"
         )
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,9 +16,9 @@
 use crate::execution;
 use crate::leaving;
 use crate::limits;
+use crate::memory_budget;
 use crate::pauses;
 use crate::pool;
-use crate::response_buffer;
 use crate::rollouts;
 use crate::state;
 
@@ -118,11 +118,13 @@
     ServerError(hyper::StatusCode),
 }
 
-impl From<response_buffer::ReadError> for AttemptError {
-    fn from(error: response_buffer::ReadError) -> Self {
+impl From<memory_budget::ReadError> for AttemptError {
+    fn from(error: memory_budget::ReadError) -> Self {
         match error {
-            response_buffer::ReadError::Broken(error) => Self::Broken(error.to_string()),
-            response_buffer::ReadError::TooLarge(_) => Self::TooLarge(error.to_string()),
+            memory_budget::ReadError::Broken(error) => Self::Broken(error.to_string()),
+            memory_budget::ReadError::TooLarge(_) | memory_budget::ReadError::Exceeded(_) => {
+                Self::TooLarge(error.to_string())
+            }
         }
     }
 }
@@ -228,6 +230,7 @@
             &exchange.state,
             &in_flight.server,
             &exchange.head.attempt_id,
+            connection.head_limit(),
         );
         exchange.send_record.record_send();
         let sending = tokio::time::timeout(timeout, connection.send(request));
@@ -388,6 +391,18 @@
         }
     }
 
+    /// Counts bytes that are passed on towards the memory for bytes of other processes.
+    #[must_use]
+    pub fn count_bytes(&self, bytes: bytes::Bytes) -> bytes::Bytes {
+        self.state.memory_budget.count(bytes)
+    }
+
+    /// Opens a share of the memory for bytes of other processes.
+    #[must_use]
+    pub fn open_share(&self) -> memory_budget::Share {
+        self.state.memory_budget.open_share()
+    }
+
     /// When the request was sent at the earliest, in milliseconds.
     #[must_use]
     pub fn sent_at_ms(&self) -> u64 {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -583,7 +583,7 @@
     ) -> (AttemptOutcome, Option<hyper::Response<bytes::Bytes>>) {
         let attempt::OpenResponse { head, parts, body, connection, mut in_flight } = opened;
         in_flight.record_first_byte();
-        let reading = self.state.buffer_budget.read(body);
+        let reading = self.state.memory_budget.read(body);
         let bytes = match tokio::time::timeout(self.response_timeout(), reading).await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(error)) => {
--- a/crates/gateway/src/frame.rs
+++ b/crates/gateway/src/frame.rs
@@ -11,10 +11,12 @@
 use crate::store_event;
 
 /// Largest frame, in bytes. A list of as many backend servers as are expected in two years takes a
-/// twentieth of it.
-const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+/// fifth of it.
+const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
+/// Largest frame of a subscriber, in bytes: a subscription or reports on roll-outs.
+const MAX_SUBSCRIBER_FRAME_BYTES: usize = 64 * 1024;
 /// Largest body after decompression, in bytes.
-const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 /// Size from which a body is compressed, in bytes. For smaller bodies compression costs more time
 /// than it saves in transfer.
 const MIN_COMPRESSED_BYTES: usize = 4 * 1024;
@@ -60,12 +62,52 @@
 }
 
 /// A connection between two hosts that carries length-delimited frames.
-pub type Connection = codec::Framed<tokio::net::TcpStream, codec::LengthDelimitedCodec>;
+pub type Connection = codec::Framed<tokio::net::TcpStream, FrameCodec>;
+
+/// Codec of length-delimited frames, with a limit for each direction.
+#[derive(Debug)]
+pub struct FrameCodec {
+    received: codec::LengthDelimitedCodec,
+    sent: codec::LengthDelimitedCodec,
+}
+
+/// The end of a connection that this host is at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// It receives store events and sends reports.
+    Subscriber,
+    /// It sends store events and receives reports.
+    Relay,
+}
 
 /// Wraps a stream in the frame codec.
 #[must_use]
-pub fn connection(stream: tokio::net::TcpStream) -> Connection {
-    codec::LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream)
+pub fn connection(stream: tokio::net::TcpStream, end: End) -> Connection {
+    let with_limit =
+        |max_bytes| codec::LengthDelimitedCodec::builder().max_frame_length(max_bytes).new_codec();
+    let (events, reports) = (with_limit(MAX_FRAME_BYTES), with_limit(MAX_SUBSCRIBER_FRAME_BYTES));
+    let codec = match end {
+        End::Subscriber => FrameCodec { received: events, sent: reports },
+        End::Relay => FrameCodec { received: reports, sent: events },
+    };
+    codec::Framed::new(stream, codec)
+}
+
+impl codec::Decoder for FrameCodec {
+    type Item = bytes::BytesMut;
+    type Error = io::Error;
+
+    fn decode(&mut self, src: &mut bytes::BytesMut) -> io::Result<Option<bytes::BytesMut>> {
+        self.received.decode(src)
+    }
+}
+
+impl codec::Encoder<bytes::Bytes> for FrameCodec {
+    type Error = io::Error;
+
+    fn encode(&mut self, item: bytes::Bytes, dst: &mut bytes::BytesMut) -> io::Result<()> {
+        self.sent.encode(item, dst)
+    }
 }
 
 /// Encodes a message as the body of a frame.
--- a/crates/gateway/src/head_limit.rs
+++ b/crates/gateway/src/head_limit.rs
@@ -1,4 +1,4 @@
-//! Limits what a server may send before the head of its response is complete.
+//! Limits what a server may send before the head of its response is complete, and at once.
 //!
 //! Interim responses and header lines may come without end. The HTTP client reads on through them, so
 //! they are counted where they are read.
@@ -12,12 +12,22 @@
 /// Number of bytes from which on no more are read before the head is complete. A read that
 /// completes the head may exceed it, since it may hold a part of the body.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
+/// Number of bytes that are read at once. The HTTP client enlarges the buffer of a connection while
+/// reads fill it; this is just below its smallest buffer.
+const READ_MAX_BYTES: usize = 8 * 1024 - 1;
 
-/// Counts the bytes read since a request was sent; clones share the count.
+/// Number of interim responses from which on no more bytes are read before the head is complete: each
+/// takes processor time, however small it is.
+const INTERIM_MAX: usize = 32;
+
+/// Counts the bytes read and interim responses received since a request was sent; clones share the
+/// counts.
 #[derive(Debug, Clone, Default)]
 pub struct HeadLimit {
     /// Bytes read so far, or [`NOT_WAITING`].
     read_bytes: Arc<atomic::AtomicUsize>,
+    /// Interim responses so far.
+    interim_responses: Arc<atomic::AtomicUsize>,
 }
 
 /// Marks that no response head is awaited.
@@ -27,6 +37,12 @@
     /// Starts to count for the next response.
     pub fn start(&self) {
         self.read_bytes.store(0, atomic::Ordering::Relaxed);
+        self.interim_responses.store(0, atomic::Ordering::Relaxed);
+    }
+
+    /// Counts an interim response.
+    pub fn record_interim(&self) {
+        self.interim_responses.fetch_add(1, atomic::Ordering::Relaxed);
     }
 
     /// Ends the limit: the head is complete.
@@ -38,7 +54,9 @@
     #[must_use]
     pub fn is_exceeded(&self) -> bool {
         let read_bytes = self.read_bytes.load(atomic::Ordering::Relaxed);
-        read_bytes != NOT_WAITING && read_bytes > HEAD_MAX_BYTES
+        let interim_responses = self.interim_responses.load(atomic::Ordering::Relaxed);
+        read_bytes != NOT_WAITING
+            && (read_bytes > HEAD_MAX_BYTES || interim_responses > INTERIM_MAX)
     }
 
     fn add(&self, bytes: usize) {
@@ -71,12 +89,17 @@
         buf: &mut tokio::io::ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
         if self.limit.is_exceeded() {
-            let reason = format!("no response within {HEAD_MAX_BYTES} bytes");
+            let reason = format!(
+                "no response within {HEAD_MAX_BYTES} bytes and {INTERIM_MAX} interim responses"
+            );
             return task::Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
         }
-        let filled_before = buf.filled().len();
-        let result = pin::Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.limit.add(buf.filled().len() - filled_before);
+        let part_len = READ_MAX_BYTES.min(buf.remaining());
+        let mut part = tokio::io::ReadBuf::new(buf.initialize_unfilled_to(part_len));
+        let result = pin::Pin::new(&mut self.stream).poll_read(cx, &mut part);
+        let read_bytes = part.filled().len();
+        buf.advance(read_bytes);
+        self.limit.add(read_bytes);
         result
     }
 }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -19,6 +19,7 @@
 use crate::caller_stream;
 use crate::exchange;
 use crate::execution;
+use crate::memory_budget;
 use crate::state;
 use crate::stream;
 
@@ -216,7 +217,7 @@
     let limits = state.view().configuration.as_ref().map(|configuration| configuration.limits());
     let body_max_bytes = limits.map_or(BODY_MAX_BYTES, |limits| limits.body_max_bytes);
     let read = tokio::select! {
-        read = read_body(body, body_max_bytes) => read,
+        read = read_body(&state, body, body_max_bytes) => read,
         () = state.lifecycle.ended(state.clock) => Err(STOPPING),
     };
     let body = match read {
@@ -449,22 +450,25 @@
 }
 
 async fn read_body(
+    state: &state::GatewayState,
     mut body: hyper::body::Incoming,
     max_bytes: usize,
 ) -> Result<bytes::Bytes, Rejection> {
     use hyper::body::Body as _;
 
     let declared_bytes = body.size_hint().lower();
-    let mut read = Vec::new();
+    let mut share = state.memory_budget.open_share();
+    let mut read = memory_budget::Blocks::default();
     let is_too_large = |bytes: u64| bytes > u64::try_from(max_bytes).unwrap_or(u64::MAX);
     let mut is_large = is_too_large(declared_bytes);
     while !is_large {
-        match body.frame().await {
-            None => return Ok(read.into()),
+        match share.unless_evicted(body.frame()).await.map_err(no_memory)? {
+            None => return Ok(share.keep(read.into_vec())),
             Some(Ok(frame)) => {
                 let data = frame.into_data().unwrap_or_default();
-                read.extend_from_slice(&data);
+                read.extend(&data);
                 is_large = read.len() > max_bytes;
+                share.resize(read.allocated_bytes()).map_err(no_memory)?;
             }
             Some(Err(_)) => {
                 let status = hyper::StatusCode::BAD_REQUEST;
@@ -484,6 +488,16 @@
     Err(Rejection { status, reason: "body too large", retry_after_ms: None })
 }
 
+/// Rejects a request whose body does not fit into the memory beside those of others.
+fn no_memory(exceeded: memory_budget::Exceeded) -> Rejection {
+    log::warn!(target: "toucanwall", why = exceeded.to_string(); "body of a request not read");
+    Rejection {
+        status: hyper::StatusCode::SERVICE_UNAVAILABLE,
+        reason: "no memory",
+        retry_after_ms: Some(RETRY_OTHER_HOST_MS),
+    }
+}
+
 /// Chooses the service of a request by the weights of its route and a hash of its attempt ID.
 fn choose_service<'a>(
     route: &'a configuration::Route,
--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -5,6 +5,7 @@
 use toucanwall_platform::response;
 use toucanwall_routing::server;
 
+use crate::head_limit;
 use crate::state;
 
 /// Where a notice was found.
@@ -41,9 +42,12 @@
     state: &Arc<state::GatewayState>,
     server: &Arc<server::BackendServer>,
     id: &Arc<str>,
+    head_limit: &head_limit::HeadLimit,
 ) {
     let (state, server, id) = (Arc::clone(state), Arc::clone(server), Arc::clone(id));
+    let head_limit = head_limit.clone();
     hyper::ext::on_informational(request, move |interim| {
+        head_limit.record_interim();
         let notice = response::decode_leaving(interim.headers());
         record_notice(&state, &server, &id, notice, Source::Interim);
     });
--- /dev/null
+++ b/crates/gateway/src/memory_budget.rs
@@ -0,0 +1,318 @@
+//! Limits the memory that bytes of other processes take up together.
+//!
+//! Whatever is kept of a body or an event counts from its first byte until it has been passed on. If
+//! all together would exceed the limit, the largest that is still being read is given up, so that the
+//! others go on.
+
+use std::collections;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic;
+
+use http_body_util::BodyExt as _;
+
+/// Part of the memory of the host that the budget may take up, in percent. The rest is for the
+/// process itself, and for the buffers of its connections.
+const MEMORY_PERCENT: u64 = 20;
+/// Limit of a host whose memory is not stated, in bytes.
+const DEFAULT_LIMIT_BYTES: usize = 32 * 1024 * 1024;
+/// Maximum size of a response body in bytes.
+const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
+/// Size of the blocks in which a body is kept while it is read, in bytes. Blocks of one size are reused,
+/// whereas a vector that grows leaves its former sizes behind.
+const BLOCK_BYTES: usize = 64 * 1024;
+/// Size from which a share may be given up for others, in bytes: giving up a small one helps nobody.
+const EVICTABLE_BYTES: usize = 16 * 1024;
+
+/// The memory for bytes of other processes; clones share it.
+#[derive(Debug, Clone)]
+pub struct MemoryBudget {
+    ledger: Arc<Ledger>,
+}
+
+#[derive(Debug)]
+struct Ledger {
+    limit_bytes: usize,
+    accounts: Mutex<Accounts>,
+    evictions: atomic::AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct Accounts {
+    used_bytes: usize,
+    next_id: u64,
+    /// Shares that may be given up for others, by id.
+    evictable: collections::BTreeMap<u64, Evictable>,
+}
+
+#[derive(Debug)]
+struct Evictable {
+    bytes: usize,
+    eviction: Arc<Eviction>,
+}
+
+/// Tells the holder of a share that it is given up.
+#[derive(Debug, Default)]
+struct Eviction {
+    is_evicted: atomic::AtomicBool,
+    notify: tokio::sync::Notify,
+}
+
+/// The part of the budget that one reader uses; returned when dropped.
+#[derive(Debug)]
+pub struct Share {
+    ledger: Arc<Ledger>,
+    id: u64,
+    bytes: usize,
+    eviction: Arc<Eviction>,
+}
+
+/// The memory is exceeded, and this reader uses the most.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("given up after {0} bytes, since the memory for bytes of other processes is exceeded")]
+pub struct Exceeded(pub usize);
+
+/// Why a body was not read.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub enum ReadError {
+    /// The connection failed or the body is malformed.
+    #[error("{0}")]
+    Broken(#[from] hyper::Error),
+    /// The body is too large.
+    #[error("body is larger than {0} bytes")]
+    TooLarge(usize),
+    /// The memory is exceeded.
+    #[error("{0}")]
+    Exceeded(#[from] Exceeded),
+}
+
+/// A body that is being read.
+#[derive(Debug, Default)]
+pub struct Blocks {
+    /// Full blocks, and the one that is being filled.
+    blocks: Vec<Vec<u8>>,
+    len: usize,
+}
+
+/// Bytes together with their share of the budget.
+struct CountedBytes {
+    bytes: bytes::Bytes,
+    /// Returned once the bytes are no longer used.
+    _share: Share,
+}
+
+impl MemoryBudget {
+    /// Creates the budget of a host with this memory, if it is stated, in bytes.
+    #[must_use]
+    pub fn new(memory_bytes: Option<u64>) -> Self {
+        let limit_bytes = memory_bytes
+            .and_then(|bytes| usize::try_from(bytes / 100 * MEMORY_PERCENT).ok())
+            .unwrap_or(DEFAULT_LIMIT_BYTES);
+        let ledger = Ledger {
+            limit_bytes,
+            accounts: Mutex::default(),
+            evictions: atomic::AtomicU64::new(0),
+        };
+        Self { ledger: Arc::new(ledger) }
+    }
+
+    /// Opens a share for one reader, which uses nothing yet.
+    #[must_use]
+    pub fn open_share(&self) -> Share {
+        let mut accounts = self.ledger.lock();
+        let id = accounts.next_id;
+        accounts.next_id += 1;
+        drop(accounts);
+        Share { ledger: Arc::clone(&self.ledger), id, bytes: 0, eviction: Arc::default() }
+    }
+
+    /// Counts bytes that have to be passed on, even if others have to be given up for them.
+    #[must_use]
+    pub fn count(&self, bytes: bytes::Bytes) -> bytes::Bytes {
+        if bytes.len() < EVICTABLE_BYTES {
+            return bytes;
+        }
+        let mut share = self.open_share();
+        let mut accounts = self.ledger.lock();
+        share.bytes = bytes.len();
+        accounts.used_bytes += share.bytes;
+        self.ledger.make_room(&mut accounts, None);
+        drop(accounts);
+        share.keep(bytes)
+    }
+
+    /// Reads a body of a response to its end.
+    ///
+    /// # Errors
+    /// [`ReadError`]; the rest of the body is not read.
+    pub async fn read(&self, mut body: hyper::body::Incoming) -> Result<bytes::Bytes, ReadError> {
+        let mut share = self.open_share();
+        let mut blocks = Blocks::default();
+        while let Some(frame) = share.unless_evicted(body.frame()).await? {
+            let Ok(data) = frame?.into_data() else { continue };
+            if blocks.len() + data.len() > BODY_MAX_BYTES {
+                return Err(ReadError::TooLarge(BODY_MAX_BYTES));
+            }
+            blocks.extend(&data);
+            share.resize(blocks.allocated_bytes())?;
+        }
+        Ok(share.keep(blocks.into_vec()))
+    }
+
+    /// Number of bytes in use.
+    #[must_use]
+    pub fn used_bytes(&self) -> usize {
+        self.ledger.lock().used_bytes
+    }
+
+    /// Number of shares that were given up so far.
+    #[must_use]
+    pub fn evictions(&self) -> u64 {
+        self.ledger.evictions.load(atomic::Ordering::Relaxed)
+    }
+}
+
+impl Blocks {
+    /// Number of bytes.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Memory that the bytes take up.
+    #[must_use]
+    pub fn allocated_bytes(&self) -> usize {
+        self.blocks.iter().map(Vec::capacity).sum()
+    }
+
+    /// Appends bytes.
+    pub fn extend(&mut self, mut bytes: &[u8]) {
+        self.len += bytes.len();
+        while !bytes.is_empty() {
+            match self.blocks.last_mut() {
+                Some(last) if last.len() < BLOCK_BYTES => {
+                    let fitting = bytes.len().min(BLOCK_BYTES - last.len());
+                    last.extend_from_slice(&bytes[..fitting]);
+                    bytes = &bytes[fitting..];
+                }
+                // The first block grows, since most bodies are small.
+                Some(_) => self.blocks.push(Vec::with_capacity(BLOCK_BYTES)),
+                None => self.blocks.push(Vec::new()),
+            }
+        }
+    }
+
+    /// All bytes in one piece.
+    #[must_use]
+    pub fn into_vec(mut self) -> Vec<u8> {
+        if self.blocks.len() > 1 {
+            self.blocks.concat()
+        } else {
+            self.blocks.pop().unwrap_or_default()
+        }
+    }
+}
+
+impl Ledger {
+    fn lock(&self) -> MutexGuard<'_, Accounts> {
+        self.accounts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives up the largest shares until the others fit. Returns false if the share `for_share` is the
+    /// largest, or if there is none to give up.
+    fn make_room(&self, accounts: &mut Accounts, for_share: Option<u64>) -> bool {
+        while accounts.used_bytes > self.limit_bytes {
+            let largest = accounts.largest().filter(|id| Some(*id) != for_share);
+            let Some(evicted) = largest.and_then(|id| accounts.evictable.remove(&id)) else {
+                return false;
+            };
+            // Its holder drops what it keeps when it runs next.
+            accounts.used_bytes -= evicted.bytes;
+            evicted.eviction.is_evicted.store(true, atomic::Ordering::Relaxed);
+            evicted.eviction.notify.notify_one();
+            self.evictions.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+        true
+    }
+}
+
+impl Share {
+    /// Changes the number of bytes that the reader keeps.
+    ///
+    /// # Errors
+    /// [`Exceeded`] if the reader has to give up what it keeps.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), Exceeded> {
+        let mut accounts = self.ledger.lock();
+        if self.eviction.is_evicted.load(atomic::Ordering::Relaxed) {
+            return Err(Exceeded(self.bytes));
+        }
+        accounts.used_bytes = accounts.used_bytes + bytes - self.bytes;
+        let has_grown = bytes > self.bytes;
+        self.bytes = bytes;
+        if bytes >= EVICTABLE_BYTES {
+            let eviction = Arc::clone(&self.eviction);
+            accounts.evictable.insert(self.id, Evictable { bytes, eviction });
+        } else {
+            accounts.evictable.remove(&self.id);
+        }
+        if !has_grown || self.ledger.make_room(&mut accounts, Some(self.id)) {
+            return Ok(());
+        }
+        self.ledger.evictions.fetch_add(1, atomic::Ordering::Relaxed);
+        Err(Exceeded(bytes))
+    }
+
+    /// Waits for `reading`, unless the reader has to give up what it keeps meanwhile.
+    ///
+    /// # Errors
+    /// [`Exceeded`] if it has to.
+    pub async fn unless_evicted<F>(&self, reading: F) -> Result<F::Output, Exceeded>
+    where
+        F: Future,
+    {
+        tokio::select! {
+            biased;
+            () = self.eviction.notify.notified() => Err(Exceeded(self.bytes)),
+            output = reading => Ok(output),
+        }
+    }
+
+    /// Hands over bytes that have been read and are passed on. They count until they are no longer
+    /// used, and are not given up.
+    #[must_use]
+    pub fn keep<B>(self, bytes: B) -> bytes::Bytes
+    where
+        B: Into<bytes::Bytes>,
+    {
+        self.ledger.lock().evictable.remove(&self.id);
+        bytes::Bytes::from_owner(CountedBytes { bytes: bytes.into(), _share: self })
+    }
+}
+
+impl Accounts {
+    /// The share that uses the most.
+    fn largest(&self) -> Option<u64> {
+        let largest = self.evictable.iter().max_by_key(|(_, evictable)| evictable.bytes);
+        largest.map(|(id, _)| *id)
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        let mut accounts = self.ledger.lock();
+        if !self.eviction.is_evicted.load(atomic::Ordering::Relaxed) {
+            accounts.used_bytes -= self.bytes;
+            accounts.evictable.remove(&self.id);
+        }
+    }
+}
+
+impl AsRef<[u8]> for CountedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,8 @@
     first_byte_seconds: histogram::Histogram,
     configuration_version: gauge::Gauge,
     hosts_listed: gauge::Gauge,
+    memory_used: gauge::Gauge,
+    memory_evictions: gauge::Gauge,
     dropped_log_lines: gauge::Gauge,
 }
 
@@ -104,6 +106,18 @@
         let hosts_listed = gauge::Gauge::default();
         let help = "hosts whose addresses callers are given";
         registry.register("hosts_listed", help, hosts_listed.clone());
+        let memory_used = gauge::Gauge::default();
+        registry.register(
+            "buffered_bytes",
+            "memory for bytes of callers and servers that is in use",
+            memory_used.clone(),
+        );
+        let memory_evictions = gauge::Gauge::default();
+        registry.register(
+            "buffers_given_up",
+            "bodies and events that were given up because the memory for them was exceeded",
+            memory_evictions.clone(),
+        );
         let dropped_log_lines = gauge::Gauge::default();
         let help = "log lines that found no room";
         registry.register("log_lines_dropped", help, dropped_log_lines.clone());
@@ -127,6 +141,8 @@
             first_byte_seconds,
             configuration_version,
             hosts_listed,
+            memory_used,
+            memory_evictions,
             dropped_log_lines,
         }
     }
@@ -238,6 +254,12 @@
         self.store_calls.get_or_create(&vec![("kind", kind), ("outcome", outcome)]).inc();
     }
 
+    /// Sets the memory for bytes of callers and servers that is in use, and how many were given up.
+    pub fn set_memory(&self, used_bytes: usize, evictions: u64) {
+        self.memory_used.set(i64::try_from(used_bytes).unwrap_or(i64::MAX));
+        self.memory_evictions.set(i64::try_from(evictions).unwrap_or(i64::MAX));
+    }
+
     /// Records that a waiting call for changes of a kind was lost.
     pub fn record_lost_watch(&self, kind: &'static str) {
         self.lost_watches.get_or_create(&vec![("kind", kind)]).inc();
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -176,6 +176,12 @@
         })
     }
 
+    /// The limit on what the server sends before the head of a response.
+    #[must_use]
+    pub fn head_limit(&self) -> &head_limit::HeadLimit {
+        &self.head_limit
+    }
+
     /// Returns whether the connection was opened for this request.
     #[must_use]
     pub fn is_new(&self) -> bool {
@@ -200,7 +206,7 @@
     #[error("{0}")]
     Broken(hyper::Error),
     /// The server sent too many bytes that are no response.
-    #[error("no response within the bytes that a response head may have")]
+    #[error("no response within the bytes and interim responses that may precede it")]
     HeadTooLarge,
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -162,7 +162,7 @@
     }
 
     async fn serve(self: Arc<Self>, stream: tokio::net::TcpStream) {
-        let connection = frame::connection(stream);
+        let connection = frame::connection(stream, frame::End::Relay);
         let timeout = time::Duration::from_millis(SUBSCRIBER_TIMEOUT_MS);
         match tokio::time::timeout(timeout, receive_subscribe(connection)).await {
             Ok(Ok((connection, subscribe))) if subscribe.relay_run_id == self.run_id => {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -279,6 +279,8 @@
     loop {
         ticks.tick().await;
         state.pool.close_expired();
+        let budget = &state.memory_budget;
+        state.metrics.set_memory(budget.used_bytes(), budget.evictions());
         let view = state.view();
         let is_known = |id: &name::ServerId| view.all_servers.contains_key(id);
         state.placement().retain(is_known);
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -10,6 +10,8 @@
 pub struct EventSplitter {
     /// Bytes of an incomplete event.
     buffer: Vec<u8>,
+    /// Number of bytes at the beginning of the buffer that hold no end of an event.
+    searched_len: usize,
     last_id: Option<u64>,
     /// Number of complete events, without those that consist of comments.
     events: u64,
@@ -58,7 +60,7 @@
     /// from the beginning.
     #[must_use]
     pub fn resume_after(last_id: Option<u64>) -> Self {
-        Self { buffer: Vec::new(), last_id, events: 0 }
+        Self { last_id, ..Self::default() }
     }
 
     /// Appends bytes and returns the events that are now complete. The ID and the number of events
@@ -68,7 +70,9 @@
         self.buffer.extend_from_slice(bytes);
         let mut complete_len = 0;
         let mut error = None;
-        while let Some(end) = event_end(&self.buffer[complete_len..]) {
+        let mut searched_len = std::mem::take(&mut self.searched_len);
+        while let Some(end) = event_end(&self.buffer[complete_len..], searched_len) {
+            searched_len = 0;
             let event = &self.buffer[complete_len..complete_len + end];
             if !is_comment(event) {
                 let id = event_id(event);
@@ -84,11 +88,13 @@
             error = Some(EventError::TooLong);
         }
         let rest = self.buffer.split_off(complete_len);
+        // The last bytes may be the beginning of an end.
+        self.searched_len = rest.len().saturating_sub(2);
         let events = std::mem::replace(&mut self.buffer, rest).into();
         match error {
             None => Split::Complete(events),
             Some(error) => {
-                self.buffer = Vec::new();
+                self.discard_incomplete();
                 Split::Broken { events, error }
             }
         }
@@ -106,6 +112,17 @@
         self.events
     }
 
+    /// Discards the incomplete event.
+    pub fn discard_incomplete(&mut self) {
+        (self.buffer, self.searched_len) = (Vec::new(), 0);
+    }
+
+    /// Returns the memory that the incomplete event takes up, in bytes.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns whether no event is incomplete.
     #[must_use]
     pub fn is_at_boundary(&self) -> bool {
@@ -125,9 +142,10 @@
     }
 }
 
-/// Returns the length of the first event, including the empty line that ends it.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let newlines = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+/// Returns the length of the first event, including the empty line that ends it. The line break before
+/// the empty line is not among the first `searched_len` bytes.
+fn event_end(bytes: &[u8], searched_len: usize) -> Option<usize> {
+    let newlines = bytes.iter().enumerate().skip(searched_len).filter(|(_, byte)| **byte == b'\n');
     newlines
         .map(|(at, _)| at + 1)
         .find(|start| {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,9 +20,9 @@
 use crate::clock;
 use crate::crashes;
 use crate::limits;
+use crate::memory_budget;
 use crate::metrics;
 use crate::pool;
-use crate::response_buffer;
 use crate::rollouts;
 
 /// State of the gateway that all requests share.
@@ -36,8 +36,8 @@
     pub view: tokio::sync::watch::Receiver<Arc<view::View>>,
     /// Pool of connections to backend servers.
     pub pool: Arc<pool::Pool>,
-    /// Memory for response bodies that are being read.
-    pub buffer_budget: response_buffer::BufferBudget,
+    /// Memory for bytes of callers and servers.
+    pub memory_budget: memory_budget::MemoryBudget,
     /// Load of the backend servers, as known to this host.
     pub placement: Mutex<placement::Placement>,
     /// What the backend servers have said of themselves, shared with the control thread.
@@ -109,12 +109,13 @@
     #[must_use]
     pub fn new(inputs: Inputs) -> Self {
         let Inputs { settings, clock, view, notices, limits, rollouts, crashes, metrics } = inputs;
+        let memory_budget = memory_budget::MemoryBudget::new(settings.memory_bytes);
         Self {
             settings,
             clock,
             view,
             pool: Arc::new(pool::Pool::default()),
-            buffer_budget: response_buffer::BufferBudget::default(),
+            memory_budget,
             placement: Mutex::new(placement::Placement::new()),
             notices,
             limits,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,6 +9,7 @@
 
 use crate::attempt;
 use crate::exchange;
+use crate::memory_budget;
 use crate::pool;
 use crate::sse;
 
@@ -44,6 +45,8 @@
     body: hyper::body::Incoming,
     connection: pool::Connection,
     in_flight: attempt::InFlight,
+    /// Memory of the incomplete event.
+    share: memory_budget::Share,
 }
 
 /// Where the next events come from.
@@ -106,7 +109,8 @@
         timeout: time::Duration,
     ) -> Result<Self, attempt::AttemptError> {
         let attempt::OpenResponse { head, parts, body, connection, in_flight } = opened;
-        let mut upstream = Upstream { head, body, connection, in_flight };
+        let share = in_flight.open_share();
+        let mut upstream = Upstream { head, body, connection, in_flight, share };
         let (first_events, source) = match upstream.next(&mut splitter, timeout).await? {
             UpstreamItem::Events(first_events) => {
                 (first_events, Source::Upstream(Box::new(upstream)))
@@ -214,6 +218,7 @@
         match item {
             Ok(UpstreamItem::Events(bytes)) => Step::Forward(bytes),
             Ok(UpstreamItem::LastEvents(bytes, error)) => {
+                self.splitter.discard_incomplete();
                 self.source = Source::Broken(error);
                 Step::Forward(bytes)
             }
@@ -226,6 +231,7 @@
                 Step::End
             }
             Err(error) => {
+                self.splitter.discard_incomplete();
                 self.source = Source::Broken(error);
                 self.resume().await
             }
@@ -250,7 +256,8 @@
                 let attempt::OpenResponse { head, body, connection, in_flight, .. } = opened;
                 self.splitter = sse::EventSplitter::resume_after(exchange.last_event_id);
                 self.last_progress_at = tokio::time::Instant::now();
-                let upstream = Upstream { head, body, connection, in_flight };
+                let share = in_flight.open_share();
+                let upstream = Upstream { head, body, connection, in_flight, share };
                 self.source = Source::Upstream(Box::new(upstream));
                 Step::Forward(bytes::Bytes::new())
             }
@@ -285,7 +292,13 @@
     ) -> Result<UpstreamItem, attempt::AttemptError> {
         let until = tokio::time::Instant::now() + timeout;
         loop {
-            let frame = match tokio::time::timeout_at(until, self.body.frame()).await {
+            let reading = self.share.unless_evicted(self.body.frame());
+            let read = match tokio::time::timeout_at(until, reading).await {
+                Ok(Err(exceeded)) => return Err(self.give_up(exceeded)),
+                Ok(Ok(read)) => Ok(read),
+                Err(elapsed) => Err(elapsed),
+            };
+            let frame = match read {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if !splitter.is_at_boundary() => {
                     let reason = "stream ended within an event".to_owned();
@@ -310,10 +323,18 @@
             let Ok(data) = frame.into_data() else { continue };
             self.in_flight.record_first_byte();
             match splitter.push(&data) {
-                sse::Split::Complete(events) if events.is_empty() => {}
+                sse::Split::Complete(events) if events.is_empty() => {
+                    if let Err(exceeded) = self.share.resize(splitter.buffered_bytes()) {
+                        return Err(self.give_up(exceeded));
+                    }
+                }
                 sse::Split::Complete(events) => {
                     self.record_events(splitter);
-                    return Ok(UpstreamItem::Events(events));
+                    let events = self.in_flight.count_bytes(events);
+                    return Ok(match self.share.resize(splitter.buffered_bytes()) {
+                        Ok(()) => UpstreamItem::Events(events),
+                        Err(exceeded) => UpstreamItem::LastEvents(events, self.give_up(exceeded)),
+                    });
                 }
                 sse::Split::Broken { events, error } => {
                     self.in_flight.record_outcome(placement::Outcome::Failed);
@@ -328,6 +349,12 @@
         }
     }
 
+    /// Ends the response because it takes up too much memory.
+    fn give_up(&mut self, exceeded: memory_budget::Exceeded) -> attempt::AttemptError {
+        self.in_flight.record_outcome(placement::Outcome::Failed);
+        attempt::AttemptError::TooLarge(exceeded.to_string())
+    }
+
     fn record_events(&mut self, splitter: &sse::EventSplitter) {
         if let Some(last_event_id) = splitter.last_id() {
             self.in_flight.record_events(last_event_id);
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -70,7 +70,7 @@
         relay_run_id: relay.run_id,
         kinds: object::Kind::ALL.iter().map(|kind| kind.as_str().to_owned()).collect(),
     };
-    let mut connection = frame::connection(stream);
+    let mut connection = frame::connection(stream, frame::End::Subscriber);
     connection.send(frame::encode(&subscribe)?).await?;
     let mut subscription = Subscription { relay, connection, first_frame: None };
     subscription.first_frame = Some(subscription.next_frame().await?);
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -27,6 +27,8 @@
     pub store_address: net::SocketAddr,
     /// CPU time available to the host, in thousandths of a core.
     pub cpu_millicores: u64,
+    /// Memory available to the host, in bytes, if the settings state it.
+    pub memory_bytes: Option<u64>,
     /// Limits agreed with the platform.
     pub bounds: Bounds,
 }
