Restore the store, lose answers and break streams off in the soak

Hosts now meet a store that is restored from a copy, lost answers to waiting calls for each kind, streams that break off behind whole events, and bytes without end. At the end a server says in lost answers that it leaves.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -25,6 +25,10 @@
 use tokio::io::AsyncWriteExt as _;
 use toucanwall_platform_standin::backend;
 use toucanwall_platform_standin::backend::Behaviour;
+use toucanwall_platform_standin::broken_stream::Break;
+use toucanwall_platform_standin::broken_stream::BrokenStream;
+use toucanwall_platform_standin::broken_stream::GARBAGE;
+use toucanwall_platform_standin::endless::Endless;
 use toucanwall_platform_standin::proxy;
 use toucanwall_platform_standin::store;
 
@@ -82,6 +86,14 @@
 const BREAK_TIME: time::Duration = time::Duration::from_secs(3);
 /// Time that a slow server takes for a response.
 const SLOW_RESPONSE: time::Duration = time::Duration::from_millis(1_500);
+/// Time for which the store is away before it comes back from a copy.
+const ABSENCE: time::Duration = time::Duration::from_millis(300);
+/// Kinds of objects of which answers to waiting calls are lost.
+const WATCHED_KINDS: [&str; 5] =
+    ["config", "servers", "rollouts", "toucanwall-hosts", "toucanwall-crashes"];
+/// Time within which requests end at a server whose leaving was announced in a lost answer, as in the
+/// `contact_ms` setting, and some more for requests that are on their way.
+const LEAVING_TIME: time::Duration = time::Duration::from_millis(3_500);
 /// Number of callers that use a connection until it ends.
 const KEPT_CALLER_COUNT: u64 = 4;
 
@@ -166,6 +178,12 @@
     StoreLink(proxy::Mode),
     StoreMode(store::Mode),
     DropHistory,
+    /// The store is restored from a copy; it is away for a moment, or connections go on.
+    RestoreStore {
+        is_away: bool,
+    },
+    /// Answers to waiting calls about a kind of object are lost.
+    LoseWatches(&'static str),
     Misbehave(usize),
     /// Servers ask for a pause: one of them or all of its service.
     AskForPause(usize),
@@ -325,7 +343,7 @@
             } else {
                 expected.starts_with(&numbers)
             };
-            if !is_expected {
+            if !is_expected || response.body.contains(GARBAGE) {
                 self.record_violation(format!("{id} received events {numbers:?}: {response:?}"));
             }
         } else if response.is_complete && response.body != backend::RESPONSE_BODY {
@@ -582,11 +600,38 @@
                 fleet.store.drop_history();
                 fleet.store.abort_watches();
             }
+            Fault::RestoreStore { is_away } => self.restore_store(is_away, duration).await,
+            Fault::LoseWatches(kind) => {
+                let count = rng.random_range(1..=2);
+                self.fleet.read().await.store.lose_watch_responses(kind, count);
+            }
             Fault::Misbehave(server) => self.enqueue_misbehaviour(server, rng),
             Fault::AskForPause(server) => self.pause_servers(server, duration, rng),
         }
     }
 
+    /// Restores the store from a copy of the age `copy_age`; then the operator and the servers write
+    /// again what they had written.
+    async fn restore_store(&self, is_away: bool, copy_age: time::Duration) {
+        let store = self.fleet.read().await.store.clone();
+        let copy = store.copy();
+        tokio::time::sleep(copy_age).await;
+        if is_away {
+            store.set_mode(store::Mode::Away);
+            store.abort_watches();
+            tokio::time::sleep(ABSENCE).await;
+        }
+        let lost: Vec<_> = ["config", "servers"]
+            .into_iter()
+            .flat_map(|kind| store.list(kind, "").into_iter().map(move |entry| (kind, entry)))
+            .collect();
+        store.restore(copy);
+        store.set_mode(store::Mode::Up);
+        for (kind, (name, object)) in lost {
+            store.put(kind, &name, &object["spec"]);
+        }
+    }
+
     /// Makes a server, or all of its service, ask for a pause.
     fn pause_servers(&self, server: usize, duration: time::Duration, rng: &mut Rng) {
         let (servers, number) = match server.checked_sub(DESK_COUNT) {
@@ -613,6 +658,8 @@
             Behaviour::RespondTwice,
             Behaviour::Hang,
             Behaviour::RespondAfter(SLOW_RESPONSE),
+            Behaviour::Endless(Endless::Headers),
+            Behaviour::Endless(Endless::UnframedBody),
         ];
         let engine_behaviours = [
             Behaviour::Decline,
@@ -620,6 +667,12 @@
             Behaviour::TruncateStream { after: 2 },
             Behaviour::StallStream { after: 4 },
             Behaviour::Fail,
+            Behaviour::Endless(Endless::Event),
+            broken_stream(Break::Unnumbered, 1),
+            broken_stream(Break::Endless, 3),
+            broken_stream(Break::Skipped, 2),
+            broken_stream(Break::MalformedChunk, 4),
+            broken_stream(Break::Reset, 3),
         ];
         let mut choose =
             |options: &[Behaviour]| options.choose(rng).cloned().into_iter().collect::<Vec<_>>();
@@ -658,6 +711,11 @@
     }
 }
 
+/// Streams events and breaks off right behind one of them.
+fn broken_stream(how: Break, number: u64) -> Behaviour {
+    Behaviour::BreakStream(BrokenStream { last: LAST_EVENT, breaks: vec![number], how })
+}
+
 fn prompt_headers(prompt: &str) -> [(&'static str, &str); 2] {
     [("x-toucanwall-prefix-hash", prompt), ("x-toucanwall-token-count", "27,40")]
 }
@@ -674,7 +732,7 @@
     let link_mode = link_modes[rng.random_range(0..link_modes.len())];
     let store_modes =
         [store::Mode::Unavailable, store::Mode::Unresponsive, store::Mode::EmptyWatches];
-    match rng.random_range(0..24) {
+    match rng.random_range(0..28) {
         0..3 => Fault::Pause(host),
         3..5 => Fault::Kill(host),
         5 => Fault::Terminate(host),
@@ -684,6 +742,8 @@
         11 => Fault::StoreMode(store_modes[rng.random_range(0..store_modes.len())]),
         12 => Fault::DropHistory,
         20..24 => Fault::AskForPause(server),
+        24..26 => Fault::RestoreStore { is_away: rng.random_bool(0.5) },
+        26..28 => Fault::LoseWatches(WATCHED_KINDS[rng.random_range(0..WATCHED_KINDS.len())]),
         _ => Fault::Misbehave(server),
     }
 }
@@ -724,6 +784,7 @@
     let faults_end = time::Instant::now();
     check_recovery(&deployment).await;
     check_crashing_part(&deployment, faults_end).await;
+    check_leaving_server(&deployment).await;
     deployment.is_finished.store(true, atomic::Ordering::SeqCst);
     for caller in callers.into_iter().chain(kept_callers) {
         caller.await.expect("a caller does not panic");
@@ -820,6 +881,25 @@
     }
 }
 
+/// Checks that a server whose leaving is announced in lost answers receives no later requests.
+async fn check_leaving_server(deployment: &Deployment) {
+    let leaving = &deployment.desks[0];
+    let fleet = deployment.fleet.read().await;
+    let hosts = u64::try_from(host_count()).expect("a small number");
+    fleet.store.lose_watch_responses("servers", hosts);
+    fleet.register_at("desk", leaving, deployment.proxies[0].address, "draining");
+    let announced_at = time::Instant::now();
+    tokio::time::sleep(LEAVING_TIME + COUNTED_TIME).await;
+    let arrivals = leaving.arrivals();
+    let late = arrivals.iter().filter(|it| it.at > announced_at + LEAVING_TIME).count();
+    if late > 0 {
+        deployment.record_violation(format!(
+            "{late} requests reached {} late after its leaving was announced",
+            leaving.id
+        ));
+    }
+}
+
 /// Checks that all hosts are named to callers again, also those that were taken for lost during the
 /// faults.
 async fn check_addresses(
