Test endless bodies of callers, of the store and of peers; blame no lost call in an outage

A probe that gets no answer about changes says nothing of lost calls unless the store answers others; an outage no longer counts as lost calls in toucanwall_lost_watches.

--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -3,8 +3,11 @@
 use std::time;
 
 use rstest::rstest;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
 use toucanwall_platform_standin::backend;
 use toucanwall_platform_standin::endless::Endless;
+use toucanwall_platform_standin::store;
 
 mod gateway_fleet;
 
@@ -178,3 +181,109 @@
     assert_eq!(failed, [], "requests to a sound service");
     assert!(fleet.is_ready(0).await);
 }
+
+/// Guards against bodies of requests that take up the memory of the host together.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_stays_bounded_while_callers_send_bodies_without_end() {
+    const CALLERS: usize = 100;
+    const BODY_MAX_BYTES: usize = 4_000_000;
+    let _turn = TURN.lock().await;
+    let mut fleet = GatewayFleet::prepare().await;
+    fleet.memory_mb = Some(160);
+    let mut configuration = gateway_fleet::configuration(2);
+    configuration["limits"]["max_body_bytes"] = BODY_MAX_BYTES.into();
+    fleet.store.put("config", "main", &configuration);
+    let sound = backend::Backend::start("s-sound", backend::Behaviour::Respond).await;
+    fleet.register("desk", &sound, "ready");
+    fleet.add_ready_host().await;
+    let mut callers = Vec::new();
+    for number in 0..CALLERS {
+        let head = format!(
+            "POST /book/x HTTP/1.1\r\nhost: site.example\r\nx-toucanwall-attempt-id: b-{number}\r\n\
+             authorization: Token {}\r\ntransfer-encoding: chunked\r\n\r\n",
+            gateway_fleet::KEY
+        );
+        let stream = fleet.send_raw(0, &head).await;
+        callers.push(tokio::spawn(send_body(stream, BODY_MAX_BYTES - 100_000)));
+    }
+    let mut failed = Vec::new();
+    for _ in 0..SOUND_REQUESTS {
+        let response = fleet.send(0, "GET", "/read/x", &[]).await;
+        let status = response.map(|response| response.status);
+        failed.extend(Some(status).filter(|status| *status != Some(200)));
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+    let mut refused = 0;
+    for caller in callers {
+        refused += usize::from(caller.await.expect("no panic").starts_with("HTTP/1.1 503"));
+    }
+    let peak_kib = fleet.peak_memory_kib(0);
+    println!("bodies of requests: {peak_kib} KiB, {refused} of {CALLERS} refused");
+    assert!(peak_kib < MEMORY_LIMIT_KIB, "{peak_kib} KiB");
+    assert!(refused > 0, "the bodies do not fit together");
+    assert_eq!(failed, [], "requests with small bodies");
+    let runs = sound.executed().iter().filter(|run| run.target == "/book/x").count();
+    assert_eq!(runs, 0, "no body was complete");
+}
+
+/// Sends a chunked body without its end; returns what the host answers within a few seconds.
+async fn send_body(mut stream: tokio::net::TcpStream, body_bytes: usize) -> String {
+    let data = "x".repeat(4_096);
+    let chunk = format!("{:x}\r\n{data}\r\n", data.len());
+    for _ in 0..body_bytes / data.len() {
+        if stream.write_all(chunk.as_bytes()).await.is_err() {
+            break;
+        }
+    }
+    let mut answer = vec![0; 12];
+    let reading = stream.read_exact(&mut answer);
+    match tokio::time::timeout(time::Duration::from_secs(2), reading).await {
+        Ok(Ok(_)) => String::from_utf8_lossy(&answer).into_owned(),
+        Ok(Err(_)) | Err(_) => String::new(),
+    }
+}
+
+/// Guards against responses of the store and frames of other hosts that take up the memory.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_stays_bounded_while_the_store_and_a_peer_send_bytes_without_end() {
+    const PEERS: usize = 20;
+    const PEER_PORT: u16 = 7_340;
+    let _turn = TURN.lock().await;
+    let sound = backend::Backend::start("s-sound", backend::Behaviour::Respond).await;
+    let fleet = GatewayFleet::start(1, &[("desk", &sound)]).await;
+    fleet.store.set_mode(store::Mode::Endless);
+    fleet.store.abort_watches();
+    let mut peers = Vec::new();
+    for _ in 0..PEERS {
+        let address = fleet.address(0, PEER_PORT);
+        let mut peer = tokio::net::TcpStream::connect(address).await.expect("a connection");
+        peers.push(tokio::spawn(async move {
+            // The largest frame that any host may send.
+            let length: u32 = 4 * 1024 * 1024;
+            let mut frame = length.to_be_bytes().to_vec();
+            while peer.write_all(&frame).await.is_ok() {
+                frame = vec![0; 64 * 1024];
+            }
+        }));
+    }
+    let mut failed = Vec::new();
+    for _ in 0..SOUND_REQUESTS * 2 {
+        let response = fleet.send(0, "GET", "/read/x", &[]).await;
+        let status = response.map(|response| response.status);
+        failed.extend(Some(status).filter(|status| *status != Some(200)));
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+    }
+    for peer in peers {
+        peer.await.expect("no panic");
+    }
+    let peak_kib = fleet.peak_memory_kib(0);
+    println!("store and peers: {peak_kib} KiB");
+    assert!(peak_kib < MEMORY_LIMIT_KIB, "{peak_kib} KiB");
+    assert_eq!(failed, [], "requests meanwhile");
+    fleet.store.set_mode(store::Mode::Up);
+    fleet.store.put("config", "main", &gateway_fleet::configuration(9));
+    let in_force = async || fleet.metrics(0).await.contains("configuration_version 9\n");
+    fleet.wait_for("the next configuration to be in force", in_force).await;
+}
--- a/crates/gateway/src/store_probe.rs
+++ b/crates/gateway/src/store_probe.rs
@@ -91,10 +91,12 @@
         };
         match self.check(kind, known).await {
             Looked::Unanswered => {
+                self.read_own_entry().await?;
+                // The store answers, but not about changes.
                 for (kind, known) in self.inputs.tracker.known_kinds() {
                     self.conclude(kind, known, freshness::Check::Unanswered);
                 }
-                self.read_own_entry().await
+                Ok(())
             }
             Looked::Failed(error) if error.is_outage() => Err(error),
             Looked::Failed(_) => {
