Test that a server stays used once it has written its entry, and what ends a lag

Two lines of the new rules made no test fail when they were taken out: that a write ends a departure, and that a check ends a lag; a check of an earlier position was not looked at either. All three are noticed now.

--- a/crates/policy/tests/freshness.rs
+++ b/crates/policy/tests/freshness.rs
@@ -67,6 +67,17 @@
     // A check that was under way meanwhile.
     assert_eq!(freshness.record_check(FIRST, at(5), Check::Changed, 5_000), Verdict::Pending);
     assert_eq!(freshness.known(FIRST), Some(at(8)));
+    assert_eq!(freshness.next_check_ms(), None);
+}
+
+/// A check may see a change before the waiting call, and a later one, stale, may not.
+#[rstest]
+fn kind_that_a_check_confirms_does_not_lag() {
+    let mut freshness = listed();
+    assert_eq!(freshness.record_check(FIRST, at(5), Check::Changed, 100), Verdict::Pending);
+    let verdict = freshness.record_check(FIRST, at(5), Check::Unchanged(at(7)), 500);
+    assert_eq!(verdict, Verdict::Confirmed(at(7)));
+    assert_eq!(freshness.next_check_ms(), None);
 }
 
 /// Guards against a kind that is never confirmed because its checks are lost as well.
--- a/crates/routing/tests/restored_store.rs
+++ b/crates/routing/tests/restored_store.rs
@@ -133,7 +133,9 @@
     state.store_restored(1_000, TIMES);
     if writes {
         state.replace_servers(vec![server("s-1", 1)], 1_000);
-        state.put_server(back, 1_000);
+        state.put_server(back.clone(), 1_000);
+        // Until it has left again, lists show it as well.
+        state.replace_servers(vec![back], 1_100);
     } else {
         state.replace_servers(vec![back], 1_000);
     }
