A starting host takes no requests before it knows what is blocked and rolled out

Callers saw: 502 instead of 503 for a request with a blocked part of a prompt, which ended one more server, just after a host had started; and a version on trial that got as many requests as any other.

Cause: a host was ready with its first configuration and list of servers. The lists of roll-outs and of crash reports come milliseconds later, or a second later if the answer is lost.

Change: View::is_complete() asks for both lists (routing/first_lists.rs), for contact_ms at most, since a relay of an earlier build does not send crash reports. The test of crashing parts prints entries and logs when it fails. A look of lost_watches.rs at "not 200" now asks for 503.

--- a/crates/daemon/tests/crashing_parts.rs
+++ b/crates/daemon/tests/crashing_parts.rs
@@ -214,6 +214,14 @@
         f64::from(served) / f64::from(all)
     }
 
+    /// What the hosts wrote and logged about crashes.
+    fn evidence(&self) -> String {
+        let entries = self.fleet.store.list("toucanwall-crashes", "");
+        let entries: Vec<_> = entries.iter().map(|(name, it)| format!("{name}: {it}")).collect();
+        let crashes = self.crash_count();
+        format!("{crashes} crashes\n{}\n{}", entries.join("\n"), self.fleet.logs())
+    }
+
     async fn finish(&self) {
         self.is_finished.store(true, atomic::Ordering::SeqCst);
         tokio::time::sleep(DOWNTIME * 2).await;
@@ -281,7 +289,8 @@
     for host in 0..HOST_COUNT {
         let fleet = &deployment.fleet;
         fleet.wait_for("the host to be ready", async || fleet.is_ready(host).await).await;
-        assert_eq!(deployment.send(host, CRASHING_PART).await, Some(503), "host {host}");
+        let status = deployment.send(host, CRASHING_PART).await;
+        assert_eq!(status, Some(503), "host {host}: {}", deployment.evidence());
         assert_eq!(deployment.send(host, "d1").await, Some(200), "host {host}");
     }
     let servers = &deployment.servers;
--- a/crates/daemon/tests/lost_watches.rs
+++ b/crates/daemon/tests/lost_watches.rs
@@ -73,6 +73,21 @@
     }
 }
 
+/// Blocks a part of prompts.
+fn block_part(fleet: &GatewayFleet) {
+    let hash = format!("{:016x}", xxhash_rust::xxh3::xxh3_64(b"engines\0bad0"));
+    let block = serde_json::json!({ "blocked_part": hash });
+    fleet.store.put("toucanwall-crashes", &format!("blocked-{hash}"), &block);
+}
+
+/// Checks that a host rejects a request with the part.
+async fn assert_part_is_rejected(fleet: &GatewayFleet, host: usize) {
+    let prompt = format!("f1f1:9,bad0:9,a{host}:9");
+    let headers = [("x-toucanwall-prefix-hash", &*prompt), ("x-toucanwall-token-count", "27,40")];
+    let response = fleet.send(host, "POST", "/chat/x", &headers).await;
+    assert_eq!(response.map(|it| it.status), Some(503), "{}", fleet.logs());
+}
+
 /// Guards against a withdrawn key that works until the waiting call times out.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
@@ -142,6 +157,44 @@
     scenario.check_loss("rollouts").await;
 }
 
+/// Guards against a starting host that lets a blocked part through while it reads what is blocked.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn host_whose_first_list_of_blocked_parts_was_lost_rejects_them() {
+    let engine = backend::Backend::start("e-1", Behaviour::Stream { last: 3 }).await;
+    let mut fleet = GatewayFleet::prepare().await;
+    fleet.store.put("config", "main", &gateway_fleet::configuration(2));
+    fleet.register("engines", &engine, "ready");
+    block_part(&fleet);
+    fleet.store.lose_lists("toucanwall-crashes", 1);
+    fleet.add_ready_host().await;
+    assert_part_is_rejected(&fleet, 0).await;
+    assert!(engine.executed().is_empty(), "{}", fleet.logs());
+}
+
+/// Guards against a starting host that takes a bad version for an ordinary one while it reads the
+/// orders.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn host_whose_first_list_of_orders_was_lost_gives_versions_no_ordinary_traffic() {
+    let server = backend::Backend::start("s-1", Behaviour::Respond).await;
+    let slow = Behaviour::RespondAfter(time::Duration::from_millis(40));
+    let bad = backend::Backend::start("s-bad", slow).await;
+    let mut fleet = GatewayFleet::prepare().await;
+    fleet.store.put("config", "main", &gateway_fleet::configuration(2));
+    fleet.register("desk", &server, "ready");
+    let order = serde_json::json!({ "service": "desk", "target": "v2", "duration_s": 30 });
+    fleet.store.put("rollouts", "desk", &order);
+    fleet.register_version("desk", &bad, "v2");
+    fleet.store.lose_lists("rollouts", 1);
+    fleet.add_ready_host().await;
+    for _ in 0..PROBES {
+        fleet.send(0, "GET", "/read/x", &[]).await;
+    }
+    let exposed = bad.arrivals().len();
+    assert!(exposed <= 2, "{exposed} of {PROBES} requests\n{}", fleet.logs());
+}
+
 /// Guards against a version that is never used because nothing confirms that it isn't rolled out.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
@@ -188,17 +241,10 @@
     scenario.fleet.register("engines", &engine, "ready");
     tokio::time::sleep(CONTACT).await;
     scenario.lose("toucanwall-crashes");
-    let hash = format!("{:016x}", xxhash_rust::xxh3::xxh3_64(b"engines\0bad0"));
-    let block = serde_json::json!({ "blocked_part": hash });
-    scenario.fleet.store.put("toucanwall-crashes", &format!("blocked-{hash}"), &block);
+    block_part(&scenario.fleet);
     tokio::time::sleep(CONTACT).await;
     for host in 0..HOSTS {
-        let prompt = format!("f1f1:9,bad0:9,a{host}:9");
-        let headers =
-            [("x-toucanwall-prefix-hash", &*prompt), ("x-toucanwall-token-count", "27,40")];
-        let response = scenario.fleet.send(host, "POST", "/chat/x", &headers).await;
-        let status = response.map(|response| response.status);
-        assert_ne!(status, Some(200), "{}", scenario.fleet.logs());
+        assert_part_is_rejected(&scenario.fleet, host).await;
     }
     assert!(engine.executed().is_empty(), "{}", scenario.fleet.logs());
     scenario.check_loss("toucanwall-crashes").await;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -182,10 +182,10 @@
             Arc::clone(&inputs.limits),
             inputs.clock,
         );
-        let version_wait_ms = inputs.settings.bounds.contact_ms;
+        let rollout_wait_ms = inputs.settings.bounds.contact_ms;
         Self {
             inputs,
-            local_state: local_state::LocalState::new(version_wait_ms),
+            local_state: local_state::LocalState::new(rollout_wait_ms),
             writes,
             relay,
             peers,
@@ -495,6 +495,7 @@
             }
             object::Kind::CrashReports => {
                 self.apply_crash_entries(objects, era, now_ms);
+                self.local_state.record_crash_reports();
             }
         }
     }
@@ -775,6 +776,12 @@
             "entries were not written again after the store was restored"
         );
     }
+    if !expired.lists.is_empty() {
+        log::warn!(
+            target: "toucanwall", lists:? = expired.lists;
+            "taking requests although these objects have not been listed"
+        );
+    }
     if !expired.versions.is_empty() {
         log::warn!(
             target: "toucanwall", versions:? = expired.versions;
--- a/crates/routing/src/local_state.rs
+++ b/crates/routing/src/local_state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::configuration;
+use crate::first_lists;
 use crate::host;
 use crate::name;
 use crate::position;
@@ -43,8 +44,10 @@
     versions: collections::BTreeMap<(name::ServiceName, name::Version), VersionEntry>,
     /// Position up to which roll-outs are known.
     rollouts_position: position::Position,
-    /// Longest time for which a version waits for knowledge of roll-outs, in milliseconds.
-    version_wait_ms: u64,
+    /// Longest time for which a version, or a starting host, waits for knowledge of roll-outs, in
+    /// milliseconds.
+    rollout_wait_ms: u64,
+    first_lists: first_lists::FirstLists,
     silent_hosts: collections::BTreeSet<name::HostName>,
     store: StoreState,
 }
@@ -156,6 +159,8 @@
     pub departures: Vec<name::ServerId>,
     /// Versions that are used although it is not known whether they are rolled out.
     pub versions: Vec<(name::ServiceName, name::Version)>,
+    /// Lists that are awaited no longer before requests are taken.
+    pub lists: Vec<first_lists::List>,
 }
 
 impl Expired {
@@ -168,10 +173,11 @@
 
 impl LocalState {
     /// Creates an empty state. Servers of a version that is new to this host get no requests until
-    /// roll-outs are known up to their registration, for `version_wait_ms` at most.
+    /// roll-outs are known up to their registration, and the host itself takes none until it has its
+    /// first lists, for `rollout_wait_ms` at most.
     #[must_use]
-    pub fn new(version_wait_ms: u64) -> Self {
-        Self { version_wait_ms, ..Self::default() }
+    pub fn new(rollout_wait_ms: u64) -> Self {
+        Self { rollout_wait_ms, ..Self::default() }
     }
 
     /// Puts a configuration in force, unless one of the same or a newer version already is.
@@ -224,7 +230,7 @@
         let key = (server.service.clone(), server.version.clone());
         self.versions.entry(key).or_insert_with(|| VersionEntry {
             registered: created,
-            waits_until_ms: now_ms.saturating_add(self.version_wait_ms),
+            waits_until_ms: now_ms.saturating_add(self.rollout_wait_ms),
             is_covered: created <= self.rollouts_position,
         });
         let known = self.servers.get_or_insert_default();
@@ -339,6 +345,9 @@
                 expired.versions.push(key.clone());
             }
         }
+        if self.configuration.is_some() && self.servers.is_some() {
+            expired.lists = self.first_lists.tick(now_ms, self.rollout_wait_ms);
+        }
         expired.rollouts = self.rollouts.tick(now_ms);
         self.departed.retain(|_, departure| now_ms < departure.at_ms + DEPARTURE_RETENTION_MS);
         if let Some(restoration) = self.restoration {
@@ -382,9 +391,15 @@
 
     /// Replaces the list of roll-outs.
     pub fn replace_rollouts(&mut self, rollouts: Vec<rollout::Rollout>) {
+        self.first_lists.record(first_lists::List::Rollouts);
         self.rollouts.replace(rollouts);
     }
 
+    /// Records that the reports of crashes, which are kept elsewhere, were listed.
+    pub fn record_crash_reports(&mut self) {
+        self.first_lists.record(first_lists::List::CrashReports);
+    }
+
     /// Removes the roll-out of a service.
     pub fn remove_rollout(&mut self, service: &str) {
         self.rollouts.remove(service);
@@ -479,7 +494,7 @@
                 StoreState::LostSince(since_ms) => Some(since_ms),
                 StoreState::Available | StoreState::RecoveredSince(_) => None,
             },
-            has_servers: self.servers.is_some(),
+            has_lists: self.servers.is_some() && self.first_lists.are_complete(),
             ready_servers: Arc::new(servers),
             all_servers: Arc::new(known),
             rollouts: Arc::new(self.rollouts.all()),
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -17,8 +17,8 @@
     /// Since when the store has not answered, in milliseconds of the monotonic clock; the view may
     /// be out of date from then on.
     pub store_lost_since_ms: Option<u64>,
-    /// Whether the list of backend servers has been read at least once.
-    pub has_servers: bool,
+    /// Whether all lists that routing needs have been received at least once.
+    pub has_lists: bool,
     /// Backend servers that accept new requests, by service.
     pub ready_servers:
         Arc<collections::BTreeMap<name::ServiceName, Vec<Arc<server::BackendServer>>>>,
@@ -48,7 +48,7 @@
     /// Whether the view holds all that routing needs.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        self.configuration.is_some() && self.has_servers
+        self.configuration.is_some() && self.has_lists
     }
 
     /// Backend servers of a service that accept new requests.
--- a/crates/routing/tests/new_versions.rs
+++ b/crates/routing/tests/new_versions.rs
@@ -2,6 +2,8 @@
 
 use rstest::rstest;
 use toucanwall_routing::LocalState;
+use toucanwall_routing::configuration;
+use toucanwall_routing::first_lists;
 use toucanwall_routing::local_state;
 use toucanwall_routing::position;
 use toucanwall_routing::rollout;
@@ -47,6 +49,23 @@
     state
 }
 
+fn configuration() -> configuration::Configuration {
+    let limits = configuration::Limits {
+        header_max_bytes: 1_024,
+        body_max_bytes: 1_024,
+        header_timeout_ms: 1_000,
+        idle_timeout_ms: 1_000,
+    };
+    let raw = configuration::RawConfiguration {
+        version: 1,
+        routes: Vec::new(),
+        services: Vec::new(),
+        organisations: Vec::new(),
+        limits,
+    };
+    configuration::Configuration::try_from(raw).expect("a valid configuration")
+}
+
 fn ready(state: &LocalState) -> Vec<String> {
     let view = state.view();
     let ready = view.ready_servers_of(&"desk".into());
@@ -109,3 +128,34 @@
     assert_eq!(state.tick(1_000 + WAIT_MS).versions, [("desk".into(), "v2".into())]);
     assert_eq!(ready(&state), ["s-1", "s-2"]);
 }
+
+/// Guards against a starting host that takes requests before it knows roll-outs and blocked parts,
+/// and against one that never takes any because a relay does not send a kind.
+#[rstest]
+fn starting_host_waits_for_its_first_lists_for_a_limited_time() {
+    let mut state = LocalState::new(WAIT_MS);
+    assert!(state.tick(1_000 + WAIT_MS).lists.is_empty());
+    state.replace_servers(Vec::new(), 0);
+    state.apply_configuration(configuration());
+    assert!(!state.view().is_complete());
+    state.replace_rollouts(Vec::new());
+    assert!(!state.view().is_complete());
+    let since_ms = 10_000;
+    assert!(state.tick(since_ms).lists.is_empty());
+    assert!(state.tick(since_ms + WAIT_MS - 1).lists.is_empty());
+    assert!(!state.view().is_complete());
+    assert_eq!(state.tick(since_ms + WAIT_MS).lists, [first_lists::List::CrashReports]);
+    assert!(state.view().is_complete());
+    assert!(state.tick(since_ms + WAIT_MS).lists.is_empty());
+}
+
+#[rstest]
+fn host_with_its_first_lists_waits_no_longer() {
+    let mut state = LocalState::new(WAIT_MS);
+    state.replace_servers(Vec::new(), 0);
+    state.apply_configuration(configuration());
+    state.record_crash_reports();
+    assert!(!state.view().is_complete());
+    state.replace_rollouts(Vec::new());
+    assert!(state.view().is_complete());
+}
