Test that the end of an event may arrive in pieces

Callers saw nothing. The rule that the last two bytes of an incomplete event are searched again (sse.rs) had no test: docs/PROOFS.md listed it.

Change: a stream whose events end in pieces, in four ways, is forwarded whole at one request to the server.

--- a/crates/daemon/tests/broken_heads.rs
+++ b/crates/daemon/tests/broken_heads.rs
@@ -134,6 +134,35 @@
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
+/// Guards against an event whose end is overlooked because it arrives in pieces.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_whose_events_end_in_pieces_is_forwarded_whole(
+    #[values(&["\n", "\n"], &["\r", "\n", "\r", "\n"], &["\r\n\r", "\n"], &["\n\r", "\n"])]
+    event_end: &[&str],
+) {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{NAMED}content-type: text/event-stream\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    );
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    let mut pieces = vec![head];
+    let mut body = String::new();
+    for id in 1..=3 {
+        let event = format!("id: {id}\ndata: text");
+        for piece in std::iter::once(&*event).chain(event_end.iter().copied()) {
+            pieces.push(chunk(piece));
+            body.push_str(piece);
+        }
+    }
+    pieces.push("0\r\n\r\n".to_owned());
+    let server = RawServer::start(0, pieces, End::Close).await;
+    let fleet = start_host(&server, "/chat/x").await;
+    let response = send(&fleet, "/chat/x", "1.0").await;
+    assert!(response.ends_with(&format!("\r\n\r\n{body}")), "{response:?}\n{}", fleet.log(0));
+    assert_eq!(server.requests(), 1, "{}", fleet.log(0));
+}
+
 /// A response that a server breaks off is an error, at one request at the server.
 #[rstest]
 #[case::within_a_header(0, &["HTTP/1.1 200 OK\r\nx-toucanwall-ser"])]
