Read heads of responses in small pieces first

Cause: interim responses are counted once a whole read has been parsed. A first read of 8 KiB holds up to 290, at each of 600 connections.

Change: while a head is awaited, the first read takes 1 KiB and further ones double what was read, so that an incomplete head is still parsed anew only a few times.

--- a/crates/daemon/tests/endless.rs
+++ b/crates/daemon/tests/endless.rs
@@ -87,6 +87,8 @@
 
 /// Services of which all servers send bytes without end.
 const SERVICES: [&str; 3] = ["first", "second", "third"];
+/// Interim responses in an attempt: 32, and those of one more small read.
+const INTERIM_MAX: usize = 32 + 1_024 / 28 + 1;
 /// Concurrent requests to all of them together.
 const MANY_REQUESTS: usize = 600;
 /// Requests to a sound service meanwhile of which none may fail.
@@ -182,6 +184,17 @@
     let about_sound: Vec<_> = log.lines().filter(|line| line.contains("s-sound")).collect();
     assert_eq!(failed, [], "requests to a sound service\n{}", about_sound.join("\n"));
     assert!(fleet.is_ready(0).await);
+    if matches!(endless, Endless::Interim) {
+        let read = interim_responses(&fleet.metrics(0).await);
+        assert!(read > 0 && read <= runs * INTERIM_MAX, "{read} interim responses in {runs} runs");
+    }
+}
+
+/// Interim responses that a host has read, by its metrics.
+fn interim_responses(metrics: &str) -> usize {
+    let mut values =
+        metrics.lines().filter_map(|line| line.strip_prefix("toucanwall_interim_responses_total "));
+    values.next().and_then(|value| value.parse().ok()).expect("the metric")
 }
 
 /// Guards against bodies of requests that take up the memory of the host together.
--- a/crates/gateway/src/head_limit.rs
+++ b/crates/gateway/src/head_limit.rs
@@ -13,10 +13,11 @@
 /// completes the head may exceed it, since it may hold a part of the body.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
 /// Number of bytes of a body that are read at once. The HTTP client enlarges the buffer of a connection
-/// while reads fill it; this is just below its smallest buffer. Heads are not read in small pieces,
-/// since the client parses an incomplete head anew after each of them.
+/// while reads fill it; this is just below its smallest buffer.
 const READ_MAX_BYTES: usize = 8 * 1024 - 1;
-
+/// Number of bytes of a head that are read at first. Small, since interim responses are counted only
+/// once a whole read has been parsed.
+const FIRST_READ_BYTES: usize = 1024;
 /// Number of interim responses from which on no more bytes are read before the head is complete: each
 /// takes processor time, however small it is.
 const INTERIM_MAX: usize = 32;
@@ -60,9 +61,13 @@
             && (read_bytes > HEAD_MAX_BYTES || interim_responses > INTERIM_MAX)
     }
 
-    /// Whether a response head is awaited.
-    fn is_waiting(&self) -> bool {
-        self.read_bytes.load(atomic::Ordering::Relaxed) != NOT_WAITING
+    /// Number of bytes to read at most. Reads of a head double what was read of it, since the client
+    /// parses an incomplete head anew after each of them.
+    fn read_max_bytes(&self) -> usize {
+        match self.read_bytes.load(atomic::Ordering::Relaxed) {
+            NOT_WAITING => READ_MAX_BYTES,
+            read_bytes => read_bytes.max(FIRST_READ_BYTES),
+        }
     }
 
     fn add(&self, bytes: usize) {
@@ -100,8 +105,7 @@
             );
             return task::Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
         }
-        let read_max = if self.limit.is_waiting() { HEAD_MAX_BYTES } else { READ_MAX_BYTES };
-        let part_len = read_max.min(buf.remaining());
+        let part_len = self.limit.read_max_bytes().min(buf.remaining());
         let mut part = tokio::io::ReadBuf::new(buf.initialize_unfilled_to(part_len));
         let result = pin::Pin::new(&mut self.stream).poll_read(cx, &mut part);
         let read_bytes = part.filled().len();
--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -48,6 +48,7 @@
     let head_limit = head_limit.clone();
     hyper::ext::on_informational(request, move |interim| {
         head_limit.record_interim();
+        state.metrics.record_interim_response();
         let notice = response::decode_leaving(interim.headers());
         record_notice(&state, &server, &id, notice, Source::Interim);
     });
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     refused: CounterFamily,
     failed: CounterFamily,
     attempts_failed: CounterFamily,
+    interim_responses: counter::Counter,
     leaving_notices: CounterFamily,
     pause_requests: CounterFamily,
     limit_notices: CounterFamily,
@@ -63,6 +64,9 @@
         let attempts_failed = CounterFamily::default();
         let help = "sends to servers that came to nothing";
         registry.register("attempts_failed", help, attempts_failed.clone());
+        let interim_responses = counter::Counter::default();
+        let help = "interim responses of servers";
+        registry.register("interim_responses", help, interim_responses.clone());
         let leaving_notices = CounterFamily::default();
         let help = "responses by what they say about whether their server is leaving";
         registry.register("leaving_notices", help, leaving_notices.clone());
@@ -127,6 +131,7 @@
             refused,
             failed,
             attempts_failed,
+            interim_responses,
             leaving_notices,
             pause_requests,
             limit_notices,
@@ -191,6 +196,11 @@
         self.attempts_failed.get_or_create(&vec![("reason", reason)]).inc();
     }
 
+    /// Records an interim response of a server.
+    pub fn record_interim_response(&self) {
+        self.interim_responses.inc();
+    }
+
     /// Records a response that says something about whether its server is leaving.
     pub fn record_leaving_notice(&self, notice: response::LeavingNotice) {
         let notice = match notice {
