An answer without a length is whole only if its server goes on

Cause: the kernel closes the connections of a killed process in order. The host looked whether the server had ended only if the answer was empty.

The new cases of connection_ends.rs failed for lookups, bookings and streams.

Change: at the end of such an answer the host connects to the server; if it is refused, or the connection ends within 10 ms and the next is refused, the answer is a break. Servers that are leaving end their answers first and are not looked at. The stand-in crashes within such answers, with its listening socket closed at once or 3 ms later.

--- a/crates/daemon/tests/connection_ends.rs
+++ b/crates/daemon/tests/connection_ends.rs
@@ -89,6 +89,76 @@
     assert_eq!(gateway_fleet::event_numbers(&response.body), [1, 2, 3]);
 }
 
+/// Time from the first part of a response to the crash of its server.
+const CRASH_DELAY: time::Duration = time::Duration::from_millis(50);
+/// Time for which a crashed server refuses connections.
+const DOWNTIME: time::Duration = time::Duration::from_secs(2);
+
+/// Two servers of each service, of which the first crashes within its responses.
+async fn start_with_crashes(listens_for: time::Duration) -> (GatewayFleet, Vec<backend::Backend>) {
+    let (mut fleet, mut servers) = start(true).await;
+    for number in 2..4 {
+        let id = format!("s-{number}");
+        servers.push(backend::Backend::start(&id, Behaviour::Respond).await);
+        fleet.register("desk", &servers[number], "ready");
+    }
+    for server in [&servers[0], &servers[2]] {
+        server.crash_within_responses(CRASH_DELAY, DOWNTIME, listens_for);
+    }
+    // A restart lists the servers at once.
+    fleet.restart(0);
+    fleet.wait_for("the host to be ready", async || fleet.is_ready(0).await).await;
+    (fleet, servers)
+}
+
+/// Guards against a part of a response that looks complete since a killed process closes its
+/// connections in order.
+#[rstest]
+#[case::safe("GET", "/read/x", 200)]
+#[case::unsafe_request("POST", "/book/x", 502)]
+#[case::resumable_stream("POST", "/chat/x", 200)]
+#[tokio::test(flavor = "multi_thread")]
+async fn part_of_an_unframed_response_of_a_server_that_ended_is_not_complete(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] status: u16,
+    // The kernel closes the sockets of a process in no certain order.
+    #[values(0, 3)] listens_for_ms: u64,
+) {
+    let listens_for = time::Duration::from_millis(listens_for_ms);
+    let (fleet, servers) = start_with_crashes(listens_for).await;
+    let crashes = || servers.iter().map(backend::Backend::crashes).sum::<usize>();
+    let (mut sent, mut response) = (0, None);
+    while crashes() == 0 && sent < 40 {
+        response = fleet.send(0, method, path, &[]).await;
+        sent += 1;
+    }
+    assert_eq!(crashes(), 1, "{}", fleet.log(0));
+    let response = response.expect("a response");
+    assert_eq!(response.status, status, "{:?}\n{}", response.body, fleet.log(0));
+    if path == "/chat/x" {
+        assert!(response.is_complete, "{}", fleet.log(0));
+        assert_eq!(gateway_fleet::event_numbers(&response.body), ALL_EVENTS, "{}", fleet.log(0));
+    } else if status == 200 {
+        assert_eq!(response.body, backend::RESPONSE_BODY, "{}", fleet.log(0));
+    }
+}
+
+/// Guards against a complete response that is given up because its server stops right behind it, as it
+/// said before.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_response_of_a_server_that_leaves_is_complete() {
+    let (fleet, servers) = start_with_crashes(time::Duration::ZERO).await;
+    for server in &servers {
+        server.announce_leaving(true);
+    }
+    servers[3].crash_within_responses(CRASH_DELAY, DOWNTIME, time::Duration::ZERO);
+    let response = fleet.send(0, "POST", "/book/x", &[]).await.expect("a response");
+    assert_eq!(response.status, 200, "{}", fleet.log(0));
+    assert!(!response.body.is_empty());
+}
+
 /// Reads to the end of a connection; returns the bytes and whether the end was clean.
 async fn read_to_end(mut stream: tokio::net::TcpStream) -> (String, bool) {
     let mut bytes = Vec::new();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -415,6 +415,16 @@
         self.framing == Framing::ConnectionEnd
     }
 
+    /// Whether a response that ended with its connection may lack its end: a process that is killed
+    /// closes its connections in order. A server that leaves as planned ends responses before it ends.
+    pub async fn may_be_cut_off(&self) -> bool {
+        let is_leaving = || {
+            let acceptance = self.state.current_acceptance(&self.server);
+            acceptance == server_notices::Acceptance::Leaving
+        };
+        self.ends_with_connection() && !is_leaving() && pool::is_ending(self.server.address).await
+    }
+
     /// Lets a break of the stream that has begun count as evidence on the server's version.
     pub fn count_break(&mut self) {
         self.counts_break = true;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -611,6 +611,11 @@
             let error = in_flight.record_break(reason).await;
             return (AttemptOutcome::Failed(error, None), None);
         }
+        if !is_head_response && in_flight.may_be_cut_off().await {
+            let reason = "server ended with its response".to_owned();
+            let error = in_flight.record_break(reason).await;
+            return (AttemptOutcome::Failed(error, None), None);
+        }
         in_flight.release_connection(connection, head.keep_alive);
         let is_failure = status.is_server_error();
         if is_failure {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -27,6 +27,8 @@
 
 /// Time for a server to accept a connection that only tests whether it still runs, in milliseconds.
 const LIVENESS_TIMEOUT_MS: u64 = 100;
+/// Time for which a process that ends may still take connections, in milliseconds.
+const ENDING_MS: u64 = 10;
 
 /// Body of a request to a server.
 pub type RequestBody = http_body_util::Full<bytes::Bytes>;
@@ -221,6 +223,24 @@
     }
 }
 
+/// Returns whether a server's process has ended or is ending now.
+///
+/// An ending process may close its listening socket a moment after its connections. Until then the
+/// socket takes further connections, which end with it.
+pub async fn is_ending(address: net::SocketAddr) -> bool {
+    let timeout = time::Duration::from_millis(LIVENESS_TIMEOUT_MS);
+    let connecting = tokio::net::TcpStream::connect(address);
+    match tokio::time::timeout(timeout, connecting).await {
+        Ok(Ok(connection)) => {
+            let ending = time::Duration::from_millis(ENDING_MS);
+            let ended = tokio::time::timeout(ending, connection.readable()).await;
+            ended.is_ok() && has_ended(address).await
+        }
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        Err(_elapsed) => false,
+    }
+}
+
 async fn open_connection(key: ServerKey) -> std::io::Result<Connection> {
     let timeout = time::Duration::from_millis(CONNECT_TIMEOUT_MS);
     let stream = tokio::time::timeout(timeout, tokio::net::TcpStream::connect(key.0)).await??;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -310,6 +310,10 @@
                     let reason = "connection ended before the first event".to_owned();
                     return Err(self.in_flight.record_break(reason).await);
                 }
+                Ok(None) if self.in_flight.may_be_cut_off().await => {
+                    let reason = "server ended with its stream".to_owned();
+                    return Err(self.in_flight.record_break(reason).await);
+                }
                 Ok(None) => return Ok(UpstreamItem::End),
                 Ok(Some(Err(error))) => {
                     return Err(self.in_flight.record_break(error.to_string()).await);
