A time limit counts what has arrived by then

The request was sent again, or its outcome was unknown although the server had run it.

Cause: an expired timer and the awaited bytes are found in the same round of the runtime, and the waiting task ran before the task that reads.

Evidence: beside a load of 27, the lines about the sound server show "sent" and 1.3 to 5 s later "no response within 1000 ms".

Change: patience::until() lets tasks that are ready run for three more rounds before it gives up; used for the head, the body and the next events.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::leaving;
 use crate::limits;
 use crate::memory_budget;
+use crate::patience;
 use crate::pauses;
 use crate::pool;
 use crate::rollouts;
@@ -233,7 +234,8 @@
             connection.head_limit(),
         );
         exchange.send_record.record_send();
-        let sending = tokio::time::timeout(timeout, connection.send(request));
+        let deadline = tokio::time::Instant::now() + timeout;
+        let sending = patience::until(deadline, connection.send(request));
         let sent = tokio::select! {
             sent = sending => sent,
             // The request may wait at the server, which does not run it once it is cancelled.
@@ -261,7 +263,7 @@
             Ok(Err(pool::SendError::Broken(error))) => {
                 return Err((in_flight.record_break(error.to_string()).await, None));
             }
-            Err(_elapsed) => {
+            Err(patience::Elapsed) => {
                 in_flight.record_outcome(placement::Outcome::Failed);
                 let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
                 return Err((AttemptError::TimedOut { timeout_ms }, None));
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,6 +23,7 @@
 use crate::execution;
 use crate::ingress;
 use crate::limits;
+use crate::patience;
 use crate::pool;
 use crate::sse;
 use crate::state;
@@ -584,13 +585,14 @@
         let attempt::OpenResponse { head, parts, body, connection, mut in_flight } = opened;
         in_flight.record_first_byte();
         let reading = self.state.memory_budget.read(body);
-        let bytes = match tokio::time::timeout(self.response_timeout(), reading).await {
+        let deadline = tokio::time::Instant::now() + self.response_timeout();
+        let bytes = match patience::until(deadline, reading).await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(error)) => {
                 in_flight.record_outcome(placement::Outcome::Failed);
                 return (AttemptOutcome::Failed(error.into(), None), None);
             }
-            Err(_elapsed) => {
+            Err(patience::Elapsed) => {
                 in_flight.record_outcome(placement::Outcome::Failed);
                 let timeout_ms = self.remaining_ms();
                 return (
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod logging;
 mod memory_budget;
 mod metrics;
+mod patience;
 mod pauses;
 mod peers;
 mod pool;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -10,6 +10,7 @@
 use crate::attempt;
 use crate::exchange;
 use crate::memory_budget;
+use crate::patience;
 use crate::pool;
 use crate::sse;
 
@@ -293,7 +294,7 @@
         let until = tokio::time::Instant::now() + timeout;
         loop {
             let reading = self.share.unless_evicted(self.body.frame());
-            let read = match tokio::time::timeout_at(until, reading).await {
+            let read = match patience::until(until, reading).await {
                 Ok(Err(exceeded)) => return Err(self.give_up(exceeded)),
                 Ok(Ok(read)) => Ok(read),
                 Err(elapsed) => Err(elapsed),
@@ -318,7 +319,7 @@
                 Ok(Some(Err(error))) => {
                     return Err(self.in_flight.record_break(error.to_string()).await);
                 }
-                Err(_elapsed) => {
+                Err(patience::Elapsed) => {
                     self.in_flight.record_outcome(placement::Outcome::Failed);
                     let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
                     return Err(attempt::AttemptError::TimedOut { timeout_ms });
