Add failing tests for parts of prompts that crash servers at other moments

Only a crash behind the head and before the first event was ever played: the stand-in, the simulation and the soak all had that one moment. They take the moment as a parameter now, servers of the simulation differ in their time to the first event, its prompts have three levels, and its load is no longer capped at 200 requests a second.

--- a/crates/daemon/tests/crashing_parts.rs
+++ b/crates/daemon/tests/crashing_parts.rs
@@ -12,6 +12,7 @@
 use gateway_fleet::GatewayFleet;
 use rstest::rstest;
 use toucanwall_platform_standin::backend;
+use toucanwall_platform_standin::backend::CrashMoment;
 
 const HOST_COUNT: usize = 6;
 const SERVER_COUNT: usize = 8;
@@ -19,8 +20,12 @@
 const SLOTS: usize = 6;
 /// Time after which a crashed server is back.
 const DOWNTIME: time::Duration = time::Duration::from_millis(1_500);
-/// Time from the head of a response to the crash.
+/// Time from the head of a response, or from the last event before the crash, to the crash.
 const CRASH_DELAY: time::Duration = time::Duration::from_millis(70);
+/// Pause between the events that are sent before a crash.
+const EVENT_PAUSE: time::Duration = time::Duration::from_millis(40);
+/// The server ends while its response has begun and no event has been sent.
+const WITHOUT_EVENTS: CrashMoment = after_events(0);
 /// Time until all hosts know of a crash, as in the `contact_ms` setting.
 const CONTACT_TIME: time::Duration = time::Duration::from_secs(3);
 /// Crashes under a part from which the time limit runs.
@@ -40,6 +45,11 @@
 const AFTERMATH: time::Duration = time::Duration::from_secs(9);
 const CRASHES_DEADLINE: time::Duration = time::Duration::from_secs(20);
 
+/// A crash after a number of whole events.
+const fn after_events(events: u64) -> CrashMoment {
+    CrashMoment::AfterHead { events, pause: EVENT_PAUSE, delay: CRASH_DELAY }
+}
+
 /// Lets the cases run one after the other, since each keeps the processor busy.
 static TURN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
 
@@ -65,13 +75,13 @@
 }
 
 impl Deployment {
-    async fn start(patience: Option<time::Duration>) -> Arc<Self> {
+    async fn start(moment: CrashMoment, patience: Option<time::Duration>) -> Arc<Self> {
         let mut servers = Vec::new();
         for number in 0..SERVER_COUNT {
             let behaviour =
                 backend::Behaviour::SlowStream { last: 10, pause: time::Duration::from_millis(40) };
             let server = backend::Backend::start(&format!("s-{number}"), behaviour).await;
-            server.crash_on_part(CRASHING_PART, CRASH_DELAY, DOWNTIME);
+            server.crash_on_part(CRASHING_PART, moment, DOWNTIME);
             server.limit_slots(SLOTS);
             servers.push(server);
         }
@@ -236,8 +246,27 @@
 async fn part_that_crashed_five_servers_reaches_no_more_servers_and_its_neighbours_do(
     #[case] patience: Option<time::Duration>,
 ) {
+    check_crashing_part(WITHOUT_EVENTS, patience).await;
+}
+
+/// Hosts took the part for innocent as soon as an answer with it had shown an event, and blocked its
+/// neighbours.
+#[rstest]
+#[case::before_the_head(CrashMoment::BeforeHead { delay: CRASH_DELAY })]
+#[case::after_one_event(after_events(1))]
+#[case::after_four_events(after_events(4))]
+#[case::after_nine_events(after_events(9))]
+#[case::after_a_second(after_events(25))]
+#[tokio::test(flavor = "multi_thread")]
+async fn part_that_crashes_servers_after_its_first_events_is_blocked_and_its_neighbours_are_not(
+    #[case] moment: CrashMoment,
+) {
+    check_crashing_part(moment, None).await;
+}
+
+async fn check_crashing_part(moment: CrashMoment, patience: Option<time::Duration>) {
     let _turn = TURN.lock().await;
-    let deployment = Deployment::start(patience).await;
+    let deployment = Deployment::start(moment, patience).await;
     let started_at = time::Instant::now();
     let (begun_at, fifth_crash_at) = deployment.run_traffic().await;
     let late = deployment.late_arrivals(fifth_crash_at + CONTACT_TIME);
@@ -278,7 +307,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn part_that_crashed_five_servers_is_rejected_by_hosts_that_start_later() {
     let _turn = TURN.lock().await;
-    let deployment = Deployment::start(None).await;
+    let deployment = Deployment::start(WITHOUT_EVENTS, None).await;
     deployment.run_traffic().await;
     deployment.finish().await;
     let crashes = deployment.crash_count();
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -48,8 +48,12 @@
 const CRASHING_ID: &str = "bad-";
 /// Parts of prompts that crash nothing.
 const SOUND_PARTS: u64 = 5;
-/// Time from the head of a response to the crash.
+/// Time from the latest sign of a response, if there is one, to the crash.
 const CRASH_DELAY: time::Duration = time::Duration::from_millis(60);
+/// Most events that an engine sends before it crashes.
+const EVENTS_BEFORE_CRASH_MAX: u64 = 5;
+/// Pause between these events.
+const EVENT_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// Time after which a crashed engine is back.
 const DOWNTIME: time::Duration = time::Duration::from_millis(700);
 /// Crashes from which a part may reach servers only a few times more.
@@ -190,7 +194,7 @@
 }
 
 impl Deployment {
-    async fn start() -> Arc<Self> {
+    async fn start(crash_moment: backend::CrashMoment) -> Arc<Self> {
         let mut fleet = GatewayFleet::prepare().await;
         let store_proxy = proxy::Proxy::start(fleet.store.address).await;
         fleet.store_address = store_proxy.address;
@@ -212,7 +216,7 @@
         for number in 0..FRAGILE_COUNT {
             let behaviour = Behaviour::Stream { last: LAST_EVENT };
             let server = backend::Backend::start(&format!("f-{number}"), behaviour).await;
-            server.crash_on_part(CRASHING_PART, CRASH_DELAY, DOWNTIME);
+            server.crash_on_part(CRASHING_PART, crash_moment, DOWNTIME);
             fleet.register_run(FRAGILE_SERVICE, &server, 1);
             fragile_engines.push(server);
         }
@@ -720,6 +724,18 @@
     [("x-toucanwall-prefix-hash", prompt), ("x-toucanwall-token-count", "27,40")]
 }
 
+/// When engines crash under a request: before the head of the response or after some events.
+fn random_crash_moment(rng: &mut Rng) -> backend::CrashMoment {
+    match rng.random_range(0..=EVENTS_BEFORE_CRASH_MAX + 1) {
+        0 => backend::CrashMoment::BeforeHead { delay: CRASH_DELAY },
+        number => backend::CrashMoment::AfterHead {
+            events: number - 1,
+            pause: EVENT_PAUSE,
+            delay: CRASH_DELAY,
+        },
+    }
+}
+
 fn random_fault(rng: &mut Rng) -> Fault {
     let host = rng.random_range(0..host_count());
     let server = rng.random_range(0..DESK_COUNT + ENGINE_COUNT);
@@ -761,12 +777,12 @@
 
 /// Runs the test with one seed; returns the violated guarantees.
 async fn run_seed(seed: u64) -> Vec<String> {
-    let deployment = Deployment::start().await;
     let rng = |stream: u64| {
         let mut rng = Rng::seed_from_u64(seed);
         rng.set_stream(stream);
         rng
     };
+    let deployment = Deployment::start(random_crash_moment(&mut rng(103))).await;
     let callers: Vec<_> = (1..=CALLER_COUNT)
         .map(|caller| tokio::spawn(Arc::clone(&deployment).run_caller(caller, rng(caller))))
         .collect();
--- a/crates/policy/examples/crash-curves.rs
+++ b/crates/policy/examples/crash-curves.rs
@@ -2,6 +2,7 @@
 //! draws the curves into an SVG file if one is named.
 
 use std::error;
+use std::num;
 use std::path;
 use std::thread;
 
@@ -52,6 +53,16 @@
     /// Servers that end for no reason, per second.
     #[arg(long, default_value_t = 0.0)]
     chance_crashes_per_s: f64,
+    /// When servers crash under a part, relative to the head of the response: a time in
+    /// milliseconds, negative before the head, or a range such as 0..1000.
+    #[arg(long, default_value = "70", allow_hyphen_values = true, value_parser = parse_moment)]
+    crash_moment: crash_simulation::CrashMoment,
+    /// Part of the reports that arrive two seconds late.
+    #[arg(long, default_value_t = 0.0)]
+    late_reports: f64,
+    /// Leave out the naive rules.
+    #[arg(long)]
+    likelihood_only: bool,
     /// SVG file for the curves.
     #[arg(long)]
     plot: Option<path::PathBuf>,
@@ -77,7 +88,8 @@
 fn main() -> Result<(), Box<dyn error::Error>> {
     let arguments = Arguments::parse();
     let mut curves = Vec::new();
-    for (name, rule) in RULES {
+    let rules = if arguments.likelihood_only { &RULES[..1] } else { &RULES[..] };
+    for (name, rule) in rules.iter().copied() {
         let points = thread::scope(|scope| {
             let threads = RATES_PER_S.map(|rate_per_s| {
                 let arguments = &arguments;
@@ -117,6 +129,8 @@
         guilty_per_s: rate_per_s,
         guilty_parts: arguments.guilty_parts,
         chance_crashes_per_s: arguments.chance_crashes_per_s,
+        crash_moment: arguments.crash_moment,
+        late_reports: arguments.late_reports,
         ..Scenario::default()
     };
     let outcomes: Vec<_> =
@@ -139,6 +153,18 @@
     }
 }
 
+fn parse_moment(text: &str) -> Result<crash_simulation::CrashMoment, num::ParseIntError> {
+    if let Some((from, to)) = text.split_once("..") {
+        return Ok(crash_simulation::CrashMoment::Between(from.parse()?, to.parse()?));
+    }
+    let at_ms: i64 = text.parse()?;
+    Ok(if at_ms < 0 {
+        crash_simulation::CrashMoment::BeforeHead(at_ms.unsigned_abs())
+    } else {
+        crash_simulation::CrashMoment::AfterHead(at_ms.unsigned_abs())
+    })
+}
+
 fn approximate(count: usize) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
--- a/crates/policy/tests/crash_simulation/mod.rs
+++ b/crates/policy/tests/crash_simulation/mod.rs
@@ -15,19 +15,22 @@
 
 /// Interval at which hosts advance, in milliseconds.
 const TICK_MS: u64 = 100;
-/// Time from the head of a response to the crash under a part, in milliseconds.
-const CRASH_AFTER_MS: u64 = 70;
-/// Time from the head of a response to the first event, in milliseconds.
-const FIRST_EVENT_MS: u64 = 90;
+/// Shortest and longest time from the head of a response to the first event, in milliseconds. Servers
+/// differ.
+const FIRST_EVENT_MS: (u64, u64) = (40, 140);
 /// Time after the head in which a request counts as just begun, in milliseconds.
 const START_MS: u64 = 500;
 /// Time after the head after which a server has survived a request.
 const SURVIVAL_MS: u64 = 400;
 /// Part that all requests have in common.
 const FIRST_PART: u64 = 1;
+/// First of the second parts of prompts, which many requests have in common.
+const KIND_PARTS: u64 = 10;
+/// Number of second parts.
+const KINDS: u64 = 4;
 /// First of the parts that crash servers.
 const GUILTY_PARTS: u64 = 1_000;
-/// First of the second parts of sound requests.
+/// First of the third parts of sound requests.
 const SOUND_PARTS: u64 = 2_000;
 
 /// The rule by which hosts block.
@@ -41,6 +44,17 @@
     CountByRequest,
 }
 
+/// When a server crashes under a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashMoment {
+    /// This long before the head of the response would be sent, in milliseconds.
+    BeforeHead(u64),
+    /// This long after the head of the response, in milliseconds.
+    AfterHead(u64),
+    /// After the head, at a random moment between these times, in milliseconds.
+    Between(u64, u64),
+}
+
 /// A service, its traffic and what crashes its servers.
 #[derive(Debug, Clone, Copy)]
 pub struct Scenario {
@@ -52,7 +66,8 @@
     pub guilty_per_s: f64,
     /// Number of parts that crash servers.
     pub guilty_parts: u64,
-    /// Different second parts of the sound requests; low numbers are more frequent.
+    pub crash_moment: CrashMoment,
+    /// Different third parts of the sound requests; low numbers are more frequent.
     pub sound_parts: u64,
     /// Servers that end for no reason, a second.
     pub chance_crashes_per_s: f64,
@@ -77,6 +92,7 @@
             sound_per_s: 90.0,
             guilty_per_s: 5.0,
             guilty_parts: 1,
+            crash_moment: CrashMoment::AfterHead(70),
             sound_parts: 40,
             chance_crashes_per_s: 0.0,
             rack_failure_at_ms: None,
@@ -118,16 +134,45 @@
     host: usize,
     parts: Arc<[u64]>,
     begun_ms: u64,
+    first_event_ms: u64,
     ends_ms: u64,
+    /// When the server crashes under it.
+    crashes_ms: Option<u64>,
     attempts: u32,
 }
 
+impl Request {
+    fn new(content: u64, host: usize, part: u64) -> Self {
+        let kind = KIND_PARTS + if is_guilty(part) { 0 } else { part % KINDS };
+        Self {
+            content,
+            host,
+            parts: [FIRST_PART, kind, part].into(),
+            begun_ms: 0,
+            first_event_ms: 0,
+            ends_ms: 0,
+            crashes_ms: None,
+            attempts: 0,
+        }
+    }
+
+    /// The part that no other kind of request shares.
+    fn part(&self) -> u64 {
+        self.parts[2]
+    }
+}
+
+fn is_guilty(part: u64) -> bool {
+    (GUILTY_PARTS..SOUND_PARTS).contains(&part)
+}
+
 #[derive(Debug, Default)]
 struct Server {
     run: u64,
     down_until_ms: u64,
     in_flight: Vec<Request>,
-    crashes_at_ms: Option<u64>,
+    /// Time from the head of a response to its first event, in milliseconds.
+    first_event_ms: u64,
 }
 
 struct Host {
@@ -172,12 +217,17 @@
         counts: collections::BTreeMap::new(),
         inbox: Vec::new(),
     };
+    let mut rng = Rng::seed_from_u64(seed);
+    let mut server = || Server {
+        first_event_ms: rng.random_range(FIRST_EVENT_MS.0..FIRST_EVENT_MS.1),
+        ..Server::default()
+    };
     let mut simulation = Simulation {
         scenario,
-        rng: Rng::seed_from_u64(seed),
+        servers: (0..scenario.servers).map(|_| server()).collect(),
+        rng,
         now_ms: 0,
         next_content: 1,
-        servers: (0..scenario.servers).map(|_| Server::default()).collect(),
         hosts: (0..scenario.hosts).map(|_| host()).collect(),
         guilty_crashes: collections::BTreeMap::new(),
         entries_at: Vec::new(),
@@ -203,13 +253,19 @@
         }
     }
 
-    fn is_due(&mut self, rate_per_s: f64, step_ms: u64) -> bool {
-        let step_seconds = std::time::Duration::from_millis(step_ms).as_secs_f64();
-        self.rng.random_bool((rate_per_s * step_seconds).min(1.0))
+    /// Number of events in a step.
+    fn due(&mut self, rate_per_s: f64, step_ms: u64) -> usize {
+        let mut left = rate_per_s * std::time::Duration::from_millis(step_ms).as_secs_f64();
+        let mut count = 0;
+        while left > 0.0 {
+            count += usize::from(self.rng.random_bool(left.min(1.0)));
+            left -= 1.0;
+        }
+        count
     }
 
     fn arrive(&mut self, step_ms: u64) {
-        if self.is_due(self.scenario.sound_per_s, step_ms) {
+        for _ in 0..self.due(self.scenario.sound_per_s, step_ms) {
             // The square favours low numbers.
             let position = self.rng.random::<f64>().powi(2);
             let parts = f64::from(u32::try_from(self.scenario.sound_parts).unwrap_or(u32::MAX));
@@ -224,12 +280,12 @@
         }
         if self.now_ms >= 2_000 {
             for number in 0..self.scenario.guilty_parts {
-                if self.is_due(self.scenario.guilty_per_s, step_ms) {
+                for _ in 0..self.due(self.scenario.guilty_per_s, step_ms) {
                     self.send_new(GUILTY_PARTS + number);
                 }
             }
         }
-        if self.is_due(self.scenario.chance_crashes_per_s, step_ms) {
+        for _ in 0..self.due(self.scenario.chance_crashes_per_s, step_ms) {
             let server = self.rng.random_range(0..self.scenario.servers);
             self.crash(server, None);
         }
@@ -244,16 +300,8 @@
         let content = self.next_content;
         self.next_content += 1;
         let host = self.rng.random_range(0..self.scenario.hosts);
-        let request = Request {
-            content,
-            host,
-            parts: [FIRST_PART, part].into(),
-            begun_ms: 0,
-            ends_ms: 0,
-            attempts: 0,
-        };
-        let is_allowed = self.send(request);
-        if !(GUILTY_PARTS..SOUND_PARTS).contains(&part) {
+        let is_allowed = self.send(Request::new(content, host, part));
+        if !is_guilty(part) {
             self.count_sound(is_allowed);
         }
     }
@@ -298,8 +346,8 @@
             return true;
         }
         let index = up[self.rng.random_range(0..up.len())];
-        let part = request.parts[1];
-        if (GUILTY_PARTS..SOUND_PARTS).contains(&part) {
+        let part = request.part();
+        if is_guilty(part) {
             let crashes = self.guilty_crashes.get(&part);
             let fifth_ms = crashes.and_then(|crashes| crashes.get(4));
             if fifth_ms.is_some_and(|at_ms| self.now_ms > at_ms + CONTACT_MS) {
@@ -311,6 +359,17 @@
         let wait_ms = self.rng.random_range(60..200) + waiting * 15;
         request.begun_ms = self.now_ms + wait_ms;
         request.ends_ms = request.begun_ms + self.rng.random_range(200..2_500);
+        request.first_event_ms = request.begun_ms + self.servers[index].first_event_ms;
+        request.crashes_ms = is_guilty(part).then(|| match self.scenario.crash_moment {
+            CrashMoment::BeforeHead(early_ms) => request.begun_ms - early_ms.min(wait_ms),
+            CrashMoment::AfterHead(delay_ms) => request.begun_ms + delay_ms,
+            CrashMoment::Between(from_ms, to_ms) => {
+                request.begun_ms + self.rng.random_range(from_ms..to_ms)
+            }
+        });
+        if let Some(crashes_ms) = request.crashes_ms {
+            request.ends_ms = request.ends_ms.max(crashes_ms + 200);
+        }
         request.attempts += 1;
         self.servers[index].in_flight.push(request);
         true
@@ -320,13 +379,11 @@
         for index in 0..self.servers.len() {
             let now_ms = self.now_ms;
             let server = &mut self.servers[index];
-            let is_guilty = |it: &Request| (GUILTY_PARTS..SOUND_PARTS).contains(&it.parts[1]);
             let cause = server
                 .in_flight
                 .iter()
-                .filter(|it| is_guilty(it))
-                .find(|it| now_ms >= it.begun_ms + CRASH_AFTER_MS)
-                .map(|it| it.parts[1]);
+                .find(|it| it.crashes_ms.is_some_and(|at_ms| now_ms >= at_ms))
+                .map(Request::part);
             if cause.is_some() {
                 self.crash(index, cause);
                 continue;
@@ -363,7 +420,7 @@
         for request in &in_flight {
             let progress = if now_ms < request.begun_ms {
                 crash_causes::Progress::Waiting
-            } else if now_ms < request.begun_ms + FIRST_EVENT_MS {
+            } else if now_ms < request.first_event_ms {
                 crash_causes::Progress::Begun
             } else if now_ms < request.begun_ms + START_MS {
                 crash_causes::Progress::Streaming
@@ -437,14 +494,7 @@
                 }
             }
             for part in GUILTY_PARTS..GUILTY_PARTS + self.scenario.guilty_parts {
-                let request = Request {
-                    content: 0,
-                    host: index,
-                    parts: [FIRST_PART, part].into(),
-                    begun_ms: 0,
-                    ends_ms: 0,
-                    attempts: 0,
-                };
+                let request = Request::new(0, index, part);
                 if self.verdict(index, &request) == crash_causes::Verdict::Blocked {
                     self.rejecting.entry(part).or_default().entry(index).or_insert(now_ms);
                 }
