Send nothing to servers of data centres that operators evacuate

Hosts follow a sixth kind of objects if their settings have evacuation_ms, through relays like the other kinds. Servers of an evacuated data centre count as draining, so that each path that looks at a server's readiness before it sends obeys: first attempts, retries, escalations, resumed streams and requests that wait for a connection. Streams that run there go on. A starting host takes no requests before it has the list, for contact_ms at most. Evacuations that a restored store lacks are kept for the time in which operators write again.

--- a/crates/gateway/src/change_feed.rs
+++ b/crates/gateway/src/change_feed.rs
@@ -174,13 +174,15 @@
             metrics: metrics(),
         });
         watchers.spawn(probe.run());
-        for (kind, batch_ms) in [
+        let kinds = [
             (object::Kind::Configuration, settings.bounds.config_apply_ms / BATCH_DIVISOR),
             (object::Kind::Servers, settings.bounds.drain_ms / BATCH_DIVISOR),
             (object::Kind::Rollouts, 0),
             (object::Kind::Hosts, settings.bounds.contact_ms / CONTACT_BATCH_DIVISOR),
             (object::Kind::CrashReports, settings.bounds.contact_ms / CONTACT_BATCH_DIVISOR),
-        ] {
+        ];
+        let evacuations = settings.bounds.evacuation_ms.map(|_| (object::Kind::Evacuations, 0));
+        for (kind, batch_ms) in kinds.into_iter().chain(evacuations) {
             let watcher = watcher::Watcher::new(
                 kind,
                 self.inputs.store_client(),
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -20,6 +20,7 @@
 use toucanwall_policy::server_notices;
 use toucanwall_routing::host;
 use toucanwall_routing::local_state;
+use toucanwall_routing::name;
 use toucanwall_routing::position;
 use toucanwall_routing::rollout;
 use toucanwall_routing::server;
@@ -182,10 +183,13 @@
             Arc::clone(&inputs.limits),
             inputs.clock,
         );
-        let rollout_wait_ms = inputs.settings.bounds.contact_ms;
+        let mut local_state = local_state::LocalState::new(inputs.settings.bounds.contact_ms);
+        if inputs.settings.bounds.evacuation_ms.is_some() {
+            local_state = local_state.await_evacuations();
+        }
         Self {
             inputs,
-            local_state: local_state::LocalState::new(rollout_wait_ms),
+            local_state,
             writes,
             relay,
             peers,
@@ -497,6 +501,10 @@
                 self.apply_crash_entries(objects, era, now_ms);
                 self.local_state.record_crash_reports();
             }
+            object::Kind::Evacuations => {
+                let evacuated = objects.iter().map(|object| (&*object.metadata.name).into());
+                self.local_state.replace_evacuations(evacuated.collect(), now_ms);
+            }
         }
     }
 
@@ -562,6 +570,20 @@
                 }
             }
             (object::Kind::CrashReports, true) => self.remove_crash_entry(name),
+            (object::Kind::Evacuations, is_deleted) => {
+                let data_centre = name::DataCentre::from(name);
+                let is_news = if is_deleted {
+                    self.local_state.remove_evacuation(&data_centre)
+                } else {
+                    self.local_state.put_evacuation(data_centre)
+                };
+                if is_news {
+                    log::info!(
+                        target: "toucanwall", evacuated = name, is_over = is_deleted,
+                        revision = change.object.metadata.revision; "evacuation of a data centre"
+                    );
+                }
+            }
         }
     }
 
@@ -776,6 +798,12 @@
             "entries were not written again after the store was restored"
         );
     }
+    if !expired.evacuations.is_empty() {
+        log::info!(
+            target: "toucanwall", evacuated:? = expired.evacuations;
+            "evacuations were not written again after the store was restored"
+        );
+    }
     if !expired.lists.is_empty() {
         log::warn!(
             target: "toucanwall", lists:? = expired.lists;
--- a/crates/routing/src/first_lists.rs
+++ b/crates/routing/src/first_lists.rs
@@ -9,6 +9,8 @@
     Rollouts,
     /// Reports of crashes: without them, blocked parts of prompts reach servers.
     CrashReports,
+    /// Evacuations: without them, servers of an evacuated data centre get requests.
+    Evacuations,
 }
 
 /// Lists that have not been received since the host started.
@@ -28,6 +30,11 @@
 }
 
 impl FirstLists {
+    /// Waits for another list.
+    pub fn await_list(&mut self, list: List) {
+        self.missing.insert(list);
+    }
+
     /// Records that a list was received.
     pub fn record(&mut self, list: List) {
         self.missing.remove(&list);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! and reads no clock: times are milliseconds of the caller's monotonic clock.
 
 pub mod configuration;
+pub mod evacuations;
 pub mod first_lists;
 pub mod generation;
 pub mod host;
--- a/crates/routing/src/local_state.rs
+++ b/crates/routing/src/local_state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::configuration;
+use crate::evacuations;
 use crate::first_lists;
 use crate::host;
 use crate::name;
@@ -49,6 +50,7 @@
     rollout_wait_ms: u64,
     first_lists: first_lists::FirstLists,
     silent_hosts: collections::BTreeSet<name::HostName>,
+    evacuations: evacuations::Evacuations,
     store: StoreState,
 }
 
@@ -63,8 +65,8 @@
 
 impl ServerEntry {
     /// The server as this host uses it.
-    fn current(&self) -> Arc<server::BackendServer> {
-        if self.has_departed {
+    fn current(&self, evacuations: &evacuations::Evacuations) -> Arc<server::BackendServer> {
+        if self.has_departed || evacuations.includes(&self.server.data_centre) {
             let readiness = server::Readiness::Draining;
             return Arc::new(server::BackendServer { readiness, ..(*self.server).clone() });
         }
@@ -159,6 +161,8 @@
     pub departures: Vec<name::ServerId>,
     /// Versions that are used although it is not known whether they are rolled out.
     pub versions: Vec<(name::ServiceName, name::Version)>,
+    /// Data centres whose evacuation the restored store does not show.
+    pub evacuations: Vec<name::DataCentre>,
     /// Lists that are awaited no longer before requests are taken.
     pub lists: Vec<first_lists::List>,
 }
@@ -353,6 +357,7 @@
         if let Some(restoration) = self.restoration {
             if now_ms >= restoration.hosts_until_ms {
                 expired.hosts = self.remove_missing_hosts();
+                expired.evacuations = self.evacuations.remove_missing();
             }
             if now_ms >= restoration.servers_until_ms {
                 expired.departures = self.readmit_departed_servers();
@@ -400,6 +405,34 @@
         self.first_lists.record(first_lists::List::CrashReports);
     }
 
+    /// Lets the host take requests only once it has the list of evacuations.
+    #[must_use]
+    pub fn await_evacuations(mut self) -> Self {
+        self.first_lists.await_list(first_lists::List::Evacuations);
+        self
+    }
+
+    /// Records that a data centre is evacuated; returns whether that is news.
+    pub fn put_evacuation(&mut self, data_centre: name::DataCentre) -> bool {
+        self.evacuations.put(data_centre)
+    }
+
+    /// Records that the evacuation of a data centre was taken back; returns whether that is news.
+    pub fn remove_evacuation(&mut self, data_centre: &name::DataCentre) -> bool {
+        self.evacuations.remove(data_centre)
+    }
+
+    /// Replaces the list of evacuations. A restored store may lack some that operators write again.
+    pub fn replace_evacuations(
+        &mut self,
+        evacuated: collections::BTreeSet<name::DataCentre>,
+        now_ms: u64,
+    ) {
+        self.first_lists.record(first_lists::List::Evacuations);
+        let retains_missing = self.restoration.is_some_and(|it| now_ms < it.hosts_until_ms);
+        self.evacuations.replace(evacuated, retains_missing);
+    }
+
     /// Removes the roll-out of a service.
     pub fn remove_rollout(&mut self, service: &str) {
         self.rollouts.remove(service);
@@ -475,7 +508,7 @@
     pub fn view(&self) -> view::View {
         let entries = self.servers.iter().flatten();
         let known: collections::BTreeMap<_, _> =
-            entries.map(|(id, entry)| (id.clone(), entry.current())).collect();
+            entries.map(|(id, entry)| (id.clone(), entry.current(&self.evacuations))).collect();
         let mut servers: collections::BTreeMap<name::ServiceName, Vec<_>> =
             collections::BTreeMap::new();
         for server in known.values() {
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -56,6 +56,9 @@
     pub exposure_fraction: f64,
     /// Number of a service's requests that may reach a bad version in addition to that fraction.
     pub exposure_allowance: u64,
+    /// Deadline after which the servers of an evacuated data centre receive no requests, in
+    /// milliseconds; `None` if the deployment has no evacuations.
+    pub evacuation_ms: Option<u64>,
     /// Maximum time for which callers cache a discovery response, in milliseconds.
     pub discovery_ttl_max_ms: u64,
 }
