--- a/crates/policy/src/crash_causes/likelihood.rs
+++ b/crates/policy/src/crash_causes/likelihood.rs
@@ -162,7 +162,7 @@
         let is_same_moment = |first: &(_, &evidence::Crash), next: &(_, &evidence::Crash)| {
             next.1.noticed_unix_ms < first.1.noticed_unix_ms.saturating_add(MOMENT_MS)
         };
-        let mut rest = &crashes[..];
+        let mut rest = &*crashes;
         while let Some(first) = rest.first() {
             // The first one is of its own moment, also at the end of time.
             let later = rest.iter().skip(1).take_while(|next| is_same_moment(first, next));
--- a/crates/policy/src/crash_causes/mod.rs
+++ b/crates/policy/src/crash_causes/mod.rs
@@ -42,7 +42,7 @@
 /// fits the crashes nearly as well.
 const BLOCK_SCORE: f64 = 4.6;
 /// Score by which a part must exceed each other part at the same crashes: odds of twenty to one.
-const BLOCK_MARGIN: f64 = 2.0;
+const BLOCK_MARGIN: f64 = 3.0;
 /// Fraction of the crashes of a part at which another one must have been in flight to count as an
 /// alternative.
 const RIVAL_FRACTION: f64 = 0.5;
@@ -384,10 +384,11 @@
                 share: self.shares(*part, &sample).of_requests,
                 moments: summary.moments,
                 since_ms: known.map_or(now_ms, |it| it.since_ms),
-                strong_at: (summary.score >= SUSPECT_SCORE)
-                    .then(|| known.and_then(|it| it.strong_at).unwrap_or(summary.moments)),
+                strong_at: known.and_then(|it| it.strong_at),
             };
-            suspected.insert(*part, suspicion);
+            let strong_at =
+                suspicion.is_strong().then(|| suspicion.strong_at.unwrap_or(suspicion.moments));
+            suspected.insert(*part, Suspicion { strong_at, ..suspicion });
         }
         // Crashes that a suspected part may explain do not count against parts without a score.
         for (part, _) in suspected.iter().filter(|(_, suspicion)| suspicion.is_strong()) {
@@ -607,7 +608,7 @@
             let confined_to = known.confined_to.or(confined_to);
             let servers = cmp::max(known.servers, self.servers);
             *known =
-                evidence::Evidence { survived_ms, reported_ms, confined_to, servers, ..evidence };
+                evidence::Evidence { confined_to, servers, survived_ms, reported_ms, ..evidence };
         }
     }
 
@@ -660,7 +661,7 @@
     /// Whether requests with the part are not sent again after a crash.
     #[must_use]
     pub fn is_strong(&self) -> bool {
-        self.score >= SUSPECT_SCORE
+        self.score >= SUSPECT_SCORE && self.moments >= MOMENTS_TO_SUSPECT
     }
 
     fn isolation(&self, part: u64) -> isolation::Isolation {
@@ -675,10 +676,6 @@
             && self.contents >= CONTENTS_TO_BLOCK
     }
 
-    fn is_suspect(&self) -> bool {
-        self.score >= SUSPECT_SCORE && self.moments >= MOMENTS_TO_SUSPECT
-    }
-
     fn is_worth_clearing(&self) -> bool {
         (self.score >= CLEAR_SCORE && self.moments >= MOMENTS_TO_SUSPECT)
             || self.moments >= MOMENTS_TO_CLEAR
