Subscribe to evacuations only where the deployment has them

Hosts of deployments without evacuation_ms asked relays for evacuations, which these do not follow there, were refused and watched the store themselves. A subscriber now asks for the kinds that its own settings follow.

--- a/crates/gateway/src/change_feed.rs
+++ b/crates/gateway/src/change_feed.rs
@@ -262,7 +262,9 @@
         let candidates: Vec<_> =
             relays.iter().filter(|relay| !self.failed_relays.contains_key(&relay.name)).collect();
         for relay in candidates.into_iter().take(MAX_RELAYS_TRIED) {
-            match subscription::Subscription::open(Arc::clone(relay), &self.inputs.host).await {
+            let kinds = followed_kinds(&self.inputs.settings);
+            let own_host = &self.inputs.host;
+            match subscription::Subscription::open(Arc::clone(relay), own_host, &kinds).await {
                 Ok(subscription) => return Some(subscription),
                 Err(error) => {
                     log::info!(
@@ -290,3 +292,10 @@
         })
         .ok()
 }
+
+/// The kinds of objects that hosts follow. A relay serves only those that it follows itself.
+fn followed_kinds(settings: &settings::Settings) -> Vec<object::Kind> {
+    let has_evacuations = settings.bounds.evacuation_ms.is_some();
+    let is_followed = |kind: &object::Kind| has_evacuations || *kind != object::Kind::Evacuations;
+    object::Kind::ALL.into_iter().filter(is_followed).collect()
+}
--- a/crates/gateway/src/subscription.rs
+++ b/crates/gateway/src/subscription.rs
@@ -27,13 +27,18 @@
 }
 
 impl Subscription {
-    /// Subscribes to a relay, which closes the connection if it does not watch the store.
+    /// Subscribes to some kinds of objects at a relay, which closes the connection if it does not watch
+    /// the store or does not follow one of them.
     ///
     /// # Errors
     /// The relay is unreachable, does not respond in time, or refuses.
-    pub async fn open(relay: Arc<host::HostEntry>, own_host: &host::HostEntry) -> io::Result<Self> {
+    pub async fn open(
+        relay: Arc<host::HostEntry>,
+        own_host: &host::HostEntry,
+        kinds: &[object::Kind],
+    ) -> io::Result<Self> {
         let timeout = time::Duration::from_millis(RELAY_TIMEOUT_MS);
-        tokio::time::timeout(timeout, connect(relay, own_host)).await?
+        tokio::time::timeout(timeout, connect(relay, own_host, kinds)).await?
     }
 
     /// Sends this host's roll-out reports to the relay.
@@ -62,13 +67,14 @@
 async fn connect(
     relay: Arc<host::HostEntry>,
     own_host: &host::HostEntry,
+    kinds: &[object::Kind],
 ) -> io::Result<Subscription> {
     let stream = tokio::net::TcpStream::connect(relay.peer_address).await?;
     stream.set_nodelay(true)?;
     let subscribe = frame::Subscribe {
         host: own_host.name.as_str().to_owned(),
         relay_run_id: relay.run_id,
-        kinds: object::Kind::ALL.iter().map(|kind| kind.as_str().to_owned()).collect(),
+        kinds: kinds.iter().map(|kind| kind.as_str().to_owned()).collect(),
     };
     let mut connection = frame::connection(stream, frame::End::Subscriber);
     connection.send(frame::encode(&subscribe)?).await?;
