Test strongly suspected parts of prompts by one request at a time

After the pause that follows a crash, each host that got a request with a strongly suspected part sent it, so that several were under way before the next crash was known; a part with a large share of the requests got no score at all and was never suspected; and a sound part that was blocked by mistake took the crashes out of the account of their cause.

A strongly suspected part is now tested by one request at a time: a single host may send after the pause, by rendezvous hashing, and twice as many each second; parts under test go to different servers. A part that was in flight at five crashes and that no server has answered since is tested whatever its score. A part is blocked only after a crash under such a test, or from five crashes on. Crashes that a blocked part explains count again if servers go on crashing without it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -171,6 +171,8 @@
     /// Maximum number of idle connections to the server.
     idle_max: u32,
     sent_at_ms: u64,
+    /// Whether the request counts as running with the parts of its prompt.
+    is_running: bool,
     head_at_ms: Option<u64>,
     framing: Framing,
     first_byte_at_ms: Option<u64>,
@@ -235,6 +237,7 @@
             connection.head_limit(),
         );
         exchange.send_record.record_send();
+        in_flight.begin_run();
         let deadline = tokio::time::Instant::now() + timeout;
         let sending = patience::until(deadline, connection.send(request));
         let sent = tokio::select! {
@@ -251,6 +254,7 @@
             // the request is sent again on a new connection.
             Ok(Err(pool::SendError::NotWritten)) if !connection.is_new() => {
                 reuse_policy = None;
+                in_flight.end_run();
                 continue;
             }
             Ok(Err(pool::SendError::NotWritten)) => {
@@ -383,6 +387,7 @@
             units_before_first_byte: units,
             idle_max: exchange.connection_limits().idle_max,
             sent_at_ms,
+            is_running: false,
             head_at_ms: None,
             framing: Framing::Delimited,
             first_byte_at_ms: None,
@@ -394,6 +399,21 @@
         }
     }
 
+    /// Counts the request as running with the parts of its prompt.
+    fn begin_run(&mut self) {
+        self.is_running = true;
+        self.state.crashes.record_start_of_request(&self.suspect);
+    }
+
+    /// Ends what [`Self::begin_run`] has begun.
+    fn end_run(&mut self) {
+        if std::mem::replace(&mut self.is_running, false) {
+            let now_ms = self.state.clock.now_ms();
+            let in_flight_ms = now_ms.saturating_sub(self.sent_at_ms);
+            self.state.crashes.record_end_of_request(&self.suspect, in_flight_ms, now_ms);
+        }
+    }
+
     /// Counts bytes that are passed on towards the memory for bytes of other processes.
     #[must_use]
     pub fn count_bytes(&self, bytes: bytes::Bytes) -> bytes::Bytes {
@@ -638,8 +658,7 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let now_ms = self.state.clock.now_ms();
-        let in_flight_ms = now_ms.saturating_sub(self.sent_at_ms);
-        self.state.crashes.record_end_of_request(&self.suspect, in_flight_ms, now_ms);
+        self.end_run();
         let is_given_up = matches!(self.outcome, None | Some(placement::Outcome::Cancelled));
         if is_given_up {
             self.state.crashes.record_given_up(&self.server, self.current_suspect(now_ms), now_ms);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -708,6 +708,8 @@
             !view.silent_hosts.is_empty(),
             self.inputs.clock.now_ms(),
         );
+        let hosts = view.serving_hosts().map(|host| &host.name);
+        self.inputs.crashes.set_hosts(&self.inputs.settings.host, hosts);
         let hosts = view.serving_host_count();
         self.inputs.rollouts.update(&view.rollouts, hosts, self.inputs.clock.now());
         self.inputs.views.send_replace(Arc::new(view));
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -365,6 +365,22 @@
         lock(&self.knowledge).history.record_success(content_hash);
     }
 
+    /// Replaces the hosts that may test suspected parts, and names this one.
+    pub fn set_hosts<'a, I>(&self, own_name: &name::HostName, hosts: I)
+    where
+        I: IntoIterator<Item = &'a name::HostName>,
+    {
+        let hosts = hosts.into_iter().map(name::HostName::as_str);
+        lock(&self.knowledge).causes.set_hosts(own_name.as_str(), hosts);
+    }
+
+    /// Records that a request is sent to a server.
+    pub fn record_start_of_request(&self, suspect: &crash_causes::Suspect) {
+        if !suspect.parts.is_empty() {
+            lock(&self.knowledge).causes.record_start(&suspect.parts);
+        }
+    }
+
     /// Records that a request that was sent to a server has ended.
     pub fn record_end_of_request(
         &self,
@@ -491,7 +507,9 @@
                 let survived_ms = clearance.survived_ms.unwrap_or(crash_causes::WHOLE_ANSWER_MS);
                 lock(&self.knowledge).causes.record_clearance(part, &runs, survived_ms);
             }
-            Entry::Block(block) => self.block(u64::from_be_bytes(block.blocked_part)),
+            Entry::Block(block) => {
+                self.block(u64::from_be_bytes(block.blocked_part), now.monotonic_ms);
+            }
         }
     }
 
@@ -519,9 +537,9 @@
         knowledge.record_suspects(&run, report.noticed_unix_ms, &suspects, now.monotonic_ms);
     }
 
-    fn block(&self, part: u64) {
+    fn block(&self, part: u64, now_ms: u64) {
         let mut knowledge = lock(&self.knowledge);
-        let runs = knowledge.causes.record_block(part);
+        let runs = knowledge.causes.record_block(part, now_ms);
         knowledge.history.excuse(&runs);
         drop(knowledge);
         self.blocks.send_modify(|count| *count += 1);
--- a/crates/policy/src/crash_causes/isolation.rs
+++ b/crates/policy/src/crash_causes/isolation.rs
@@ -11,8 +11,8 @@
 /// How the requests with a suspected part are confined.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Isolation {
-    /// Hash of the part.
-    pub part: u64,
+    /// Decides which servers are chosen; the same at all hosts.
+    pub seed: u64,
     /// Its share of the requests.
     pub share: f64,
 }
@@ -37,10 +37,22 @@
         F: Fn(&S) -> &str,
     {
         let count = self.server_count(servers.len());
-        servers.sort_by_cached_key(|server| {
-            let weight = xxhash_rust::xxh3::xxh3_64_with_seed(id_of(server).as_bytes(), self.part);
-            cmp::Reverse(weight)
-        });
+        servers.sort_by_cached_key(|server| cmp::Reverse(self.weight(id_of(server))));
         servers.truncate(count);
     }
+
+    /// Removes the first server to which requests with the part are sent.
+    pub fn remove_first<S, F>(&self, servers: &mut Vec<S>, id_of: F)
+    where
+        F: Fn(&S) -> &str,
+    {
+        let by_weight = servers.iter().enumerate().max_by_key(|(_, it)| self.weight(id_of(it)));
+        if let Some(index) = by_weight.map(|(index, _)| index) {
+            servers.remove(index);
+        }
+    }
+
+    fn weight(&self, id: &str) -> u64 {
+        xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), self.seed)
+    }
 }
--- a/crates/policy/src/crash_causes/mod.rs
+++ b/crates/policy/src/crash_causes/mod.rs
@@ -15,12 +15,14 @@
 //!   unless another part fits the same crashes nearly as well.
 //!
 //! Requests with a part that is only suspected go to few servers (`isolation`), so that the next
-//! crash tells it from others. A part whose score suffices is held for [`HOLD_MS`], in which other
-//! hosts may clear it, and is then blocked for good.
+//! crash tells it from others. A strongly suspected part is tested by one request at a time, on one
+//! server (`probation`). A part whose score suffices is held for [`HOLD_MS`], in which other hosts may
+//! clear it, and is then blocked for good.
 
 pub mod evidence;
 mod isolation;
 mod likelihood;
+mod probation;
 mod traffic;
 
 use std::cmp;
@@ -35,9 +37,16 @@
 
 /// Crashes at different moments that a part needs before it is blocked.
 pub const MOMENTS_TO_BLOCK: usize = 4;
+/// Crashes at different moments from which a part is blocked although it was not tested.
+const MOMENTS_WITHOUT_TEST: usize = 5;
 /// Time for which a part is held before it is blocked for good, in milliseconds. Longer than the
 /// delay of a clearance and its way through the store.
 pub const HOLD_MS: u64 = 600;
+/// Time after a block from which crashes show that it did not end them, in milliseconds: requests that
+/// were in flight have ended, and other hosts have learned of it.
+const BLOCK_EFFECT_MS: u64 = 2_000;
+/// Crashes at different moments that show that a block did not end them.
+const MOMENTS_AFTER_BLOCK: f64 = 2.0;
 /// Score from which a part is blocked: the odds against chance are a hundred to one, and no other part
 /// fits the crashes nearly as well.
 const BLOCK_SCORE: f64 = 4.6;
@@ -48,12 +57,6 @@
 const RIVAL_FRACTION: f64 = 0.5;
 /// Score from which requests with a part are not sent to further servers after a crash.
 const SUSPECT_SCORE: f64 = 3.0;
-/// Time after a crash for which requests with a strongly suspected part are not sent, in
-/// milliseconds; it doubles with each further crash. Other hosts learn of the crash meanwhile, and few
-/// requests run at the next one.
-const PAUSE_MS: u64 = 1_000;
-/// Number of times that the pause doubles.
-const PAUSE_DOUBLINGS_MAX: usize = 4;
 /// Crashes at different moments from which requests with any part that was in flight at one of them are
 /// confined to few servers.
 const MOMENTS_TO_CONFINE: f64 = 2.0;
@@ -62,6 +65,12 @@
 const CONFINED_AFTER_MS: u64 = 700;
 /// Crashes at different moments from which a part may be suspected.
 const MOMENTS_TO_SUSPECT: usize = 2;
+/// Crashes at different moments from which a part that no server has answered in full since is strongly
+/// suspected whatever its score: a cause with a large share of the requests gets none.
+const UNCLEARED_MOMENTS_TO_TEST: f64 = 5.0;
+/// Share of the requests from which a part is not strongly suspected for that reason alone: tests would
+/// stop most of the traffic.
+const MAX_SHARE_TO_TEST: f64 = 0.5;
 /// Different requests that must have been in flight: one request by itself, with its retries, is
 /// the matter of [`crash_history`].
 const CONTENTS_TO_BLOCK: usize = 3;
@@ -135,8 +144,10 @@
     /// When each part that is held was first held, in milliseconds.
     held: collections::BTreeMap<u64, u64>,
     suspected: collections::BTreeMap<u64, Suspicion>,
-    /// Until when requests with a strongly suspected part are not sent, in milliseconds.
-    paused: collections::BTreeMap<u64, u64>,
+    probation: probation::Probation,
+    /// When a part was blocked last, in milliseconds, until its block is known to have ended the crashes or
+    /// not.
+    blocked_ms: Option<u64>,
     /// Number of servers among which this host chose last.
     servers: usize,
     has_news: bool,
@@ -151,6 +162,8 @@
     pub share: f64,
     /// Crashes at different moments that count against it.
     pub moments: usize,
+    /// Crashes at different moments that it was in flight at and that no answer has cleared it of.
+    pub uncleared: f64,
     /// Since when it has been suspected, in milliseconds.
     since_ms: u64,
     /// The value of `moments` when the part became strongly suspected.
@@ -170,7 +183,7 @@
         let of_part = |part: &u64| {
             if self.blocked.contains(part) {
                 Verdict::Blocked
-            } else if self.held.contains_key(part) || self.paused.contains_key(part) {
+            } else if self.held.contains_key(part) || !self.probation.allows(*part) {
                 Verdict::Held
             } else if self.suspected.get(part).is_some_and(Suspicion::is_strong) {
                 Verdict::Suspected
@@ -207,13 +220,37 @@
         self.servers = servers.len();
         let suspicions = parts.iter().filter_map(|part| Some((*part, self.suspected.get(part)?)));
         let highest = suspicions.max_by(|(_, a), (_, b)| a.score.total_cmp(&b.score));
-        if let Some((part, suspicion)) = highest {
+        let Some((part, suspicion)) = highest else { return };
+        if !suspicion.is_strong() {
             suspicion.isolation(part).retain_servers(servers, id_of);
+            return;
+        }
+        // Parts that are tested at the same time get different servers as far as there are enough.
+        let strong = self.suspected.iter().filter(|(_, suspicion)| suspicion.is_strong());
+        for (other, suspicion) in strong.take_while(|(other, _)| **other < part) {
+            if servers.len() > 1 {
+                suspicion.isolation(*other).remove_first(servers, &id_of);
+            }
         }
+        suspicion.isolation(part).retain_servers(servers, id_of);
+    }
+
+    /// Replaces the hosts that may test suspected parts, and names this one.
+    pub fn set_hosts<'a, I>(&mut self, own_name: &str, hosts: I)
+    where
+        I: IntoIterator<Item = &'a str>,
+    {
+        self.probation.set_hosts(own_name, hosts);
+    }
+
+    /// Records that a request is sent to a server.
+    pub fn record_start(&mut self, parts: &[u64]) {
+        self.probation.record_start(parts);
     }
 
     /// Records that a request that was sent to a server has ended.
     pub fn record_end(&mut self, parts: &[u64], in_flight_ms: u64, now_ms: u64) {
+        self.probation.record_end(parts);
         self.traffic.record(parts, in_flight_ms, now_ms);
     }
 
@@ -299,7 +336,10 @@
     }
 
     /// Blocks a part, as another host decided; returns the server runs whose crashes it explains.
-    pub fn record_block(&mut self, part: u64) -> Vec<crash_history::ServerRun> {
+    pub fn record_block(&mut self, part: u64, now_ms: u64) -> Vec<crash_history::ServerRun> {
+        if !self.blocked.contains(&part) {
+            self.blocked_ms = Some(now_ms);
+        }
         self.blocked.insert(part);
         self.held.remove(&part);
         self.suspected.remove(&part);
@@ -320,6 +360,30 @@
         self.blocked.remove(&part);
     }
 
+    /// Lets crashes that a blocked part explains count again if servers go on crashing without it: then
+    /// it was not their cause, or not their only one.
+    fn reconsider_blocks(&mut self) {
+        let Some(blocked_ms) = self.blocked_ms else { return };
+        let later = self.crashes.iter().filter(|(_, crash)| {
+            !crash.is_explained
+                && !crash.suspects.is_empty()
+                && crash.learned_ms.is_some_and(|at_ms| at_ms >= blocked_ms + BLOCK_EFFECT_MS)
+        });
+        if likelihood::Sample::new(later).moments() < MOMENTS_AFTER_BLOCK {
+            return;
+        }
+        self.blocked_ms = None;
+        let mut explained = Vec::new();
+        for (run, crash) in &mut self.crashes {
+            if std::mem::replace(&mut crash.is_explained, false) {
+                explained.push(run.clone());
+            }
+        }
+        for run in &explained {
+            self.count(run);
+        }
+    }
+
     /// Forgets crashes that this host learned of before `before_ms`.
     pub fn forget_before(&mut self, before_ms: u64) {
         let is_old =
@@ -340,7 +404,7 @@
             self.has_news = false;
             self.weigh(now_ms, rng);
         }
-        self.paused.retain(|_, until_ms| now_ms < *until_ms);
+        self.probation.advance(now_ms);
         let mut steps = self.take_clearances(now_ms);
         let due: Vec<_> = self
             .held
@@ -351,7 +415,7 @@
         for part in due {
             let sample = self.sample(&collections::BTreeSet::new());
             let score = self.summarise(part, &sample).map_or(0.0, |summary| summary.score);
-            let runs = self.record_block(part);
+            let runs = self.record_block(part, now_ms);
             steps.push(Step::Block { part, runs, score });
         }
         steps
@@ -362,15 +426,16 @@
     where
         R: rand::Rng,
     {
+        self.reconsider_blocks();
         let mut explained = collections::BTreeSet::new();
         let mut held = collections::BTreeMap::new();
         let (mut sample, mut candidates);
         loop {
             sample = self.sample(&explained);
             candidates = self.candidates(&held, &sample);
-            let cause = candidates
-                .iter()
-                .find(|(part, it)| it.is_cause() && self.stands_out(*part, it, &explained));
+            let cause = candidates.iter().find(|(part, it)| {
+                it.is_cause() && self.is_tested(*part, it) && self.stands_out(*part, it, &explained)
+            });
             let Some((part, _)) = cause else { break };
             held.insert(*part, self.held.get(part).copied().unwrap_or(now_ms));
             explained.extend(self.runs_of(*part));
@@ -383,6 +448,7 @@
                 score: summary.score,
                 share: self.shares(*part, &sample).of_requests,
                 moments: summary.moments,
+                uncleared: summary.coverage * sample.moments(),
                 since_ms: known.map_or(now_ms, |it| it.since_ms),
                 strong_at: known.and_then(|it| it.strong_at),
             };
@@ -403,25 +469,27 @@
             }
         }
         self.held = held;
-        self.paused = self.pauses(&suspected, now_ms);
+        let strong = suspected.iter().filter(|(_, suspicion)| suspicion.is_strong());
+        let strong = strong.map(|(part, it)| (*part, self.test_start_ms(*part, it)));
+        self.probation.replace(strong.collect());
         self.suspected = suspected;
         self.schedule_clearances(now_ms, rng);
     }
 
-    /// Until when requests with strongly suspected parts are not sent.
-    fn pauses(
-        &self,
-        suspected: &collections::BTreeMap<u64, Suspicion>,
-        now_ms: u64,
-    ) -> collections::BTreeMap<u64, u64> {
-        let end_of = |part: u64, suspicion: &Suspicion| {
-            let doublings = suspicion.moments.saturating_sub(suspicion.strong_at?);
-            let runs = self.runs_of(part);
-            let learned = runs.iter().filter_map(|run| self.crashes.get(run)?.learned_ms);
-            Some(learned.max()? + (PAUSE_MS << cmp::min(doublings, PAUSE_DOUBLINGS_MAX)))
-        };
-        let ends = suspected.iter().filter_map(|(part, it)| Some((*part, end_of(*part, it)?)));
-        ends.filter(|(_, until_ms)| now_ms < *until_ms).collect()
+    /// Whether a server has crashed under a part since it has been strongly suspected, or so many have
+    /// that a test would tell no more. Reports that clear a part may come later than those of crashes.
+    fn is_tested(&self, part: u64, summary: &likelihood::Summary) -> bool {
+        let strong_at = self.suspected.get(&part).and_then(|suspicion| suspicion.strong_at);
+        summary.moments >= MOMENTS_WITHOUT_TEST
+            || strong_at.is_some_and(|moments| summary.moments > moments)
+    }
+
+    /// When a strongly suspected part may be tested, in milliseconds.
+    fn test_start_ms(&self, part: u64, suspicion: &Suspicion) -> u64 {
+        let runs = self.runs_of(part);
+        let learned = runs.iter().filter_map(|run| self.crashes.get(run)?.learned_ms);
+        let crashes = suspicion.moments.saturating_sub(suspicion.strong_at.unwrap_or_default());
+        learned.max().unwrap_or_default().saturating_add(probation::pause_ms(crashes))
     }
 
     /// Parts that crashes speak against, those with the highest score first.
@@ -433,7 +501,10 @@
         let mut candidates: Vec<_> = self
             .accounts
             .iter()
-            .filter(|(part, account)| !held.contains_key(part) && !account.runs.is_empty())
+            .filter(|(part, account)| {
+                let is_decided = held.contains_key(part) || self.blocked.contains(part);
+                !is_decided && !account.runs.is_empty()
+            })
             .filter_map(|(part, _)| Some((*part, self.summarise(*part, sample)?)))
             .collect();
         // The deeper of two parts that are always in flight together is the more specific one.
@@ -661,11 +732,19 @@
     /// Whether requests with the part are not sent again after a crash.
     #[must_use]
     pub fn is_strong(&self) -> bool {
-        self.score >= SUSPECT_SCORE && self.moments >= MOMENTS_TO_SUSPECT
+        let is_likely = self.score >= SUSPECT_SCORE && self.moments >= MOMENTS_TO_SUSPECT;
+        let is_never_answered =
+            self.uncleared >= UNCLEARED_MOMENTS_TO_TEST && self.share < MAX_SHARE_TO_TEST;
+        is_likely || is_never_answered
     }
 
     fn isolation(&self, part: u64) -> isolation::Isolation {
-        isolation::Isolation { part, share: self.share }
+        if self.is_strong() {
+            // Each test runs on another server, beside other requests than those before.
+            let round = u64::try_from(self.moments).unwrap_or(u64::MAX);
+            return isolation::Isolation { seed: part.wrapping_add(round), share: 0.0 };
+        }
+        isolation::Isolation { seed: part, share: self.share }
     }
 }
 
--- a/crates/policy/tests/crash_causes.rs
+++ b/crates/policy/tests/crash_causes.rs
@@ -178,7 +178,7 @@
 #[rstest]
 fn crashes_of_a_blocked_part_are_held_against_no_other() {
     let mut causes = CrashCauses::new();
-    causes.record_block(GUILTY);
+    causes.record_block(GUILTY, 0);
     for number in 0..8 {
         let at_ms = number * INTERVAL_MS;
         let suspects = [
@@ -206,7 +206,7 @@
 #[rstest]
 fn operator_can_allow_a_part_again() {
     let mut causes = CrashCauses::new();
-    causes.record_block(GUILTY);
+    causes.record_block(GUILTY, 0);
     causes.record_unblock(GUILTY);
     assert_eq!(causes.verdict(&[FIRST, GUILTY, 9]), Verdict::Allowed);
 }
--- a/crates/policy/tests/crash_simulation/mod.rs
+++ b/crates/policy/tests/crash_simulation/mod.rs
@@ -230,6 +230,10 @@
         sound: (0, 0),
         rejecting: collections::BTreeMap::new(),
     };
+    let names: Vec<_> = (0..scenario.hosts).map(|index| format!("h-{index}")).collect();
+    for (host, name) in simulation.hosts.iter_mut().zip(&names) {
+        host.causes.set_hosts(name, names.iter().map(String::as_str));
+    }
     simulation.run();
     simulation.finish()
 }
@@ -371,6 +375,7 @@
             request.ends_ms = request.ends_ms.max(crashes_ms + 200);
         }
         request.attempts += 1;
+        self.hosts[request.host].causes.record_start(&request.parts);
         self.servers[index].in_flight.push(request);
         true
     }
@@ -560,7 +565,7 @@
             Message::Clear { part, runs, survived_ms } => {
                 self.causes.record_clearance(part, &runs, survived_ms);
             }
-            Message::Block(part) => drop(self.causes.record_block(part)),
+            Message::Block(part) => drop(self.causes.record_block(part, now_ms)),
         }
     }
 }
--- /dev/null
+++ b/crates/policy/tests/suspected_parts.rs
@@ -0,0 +1,150 @@
+//! Parts of prompts that are suspected of crashing servers are tested at the price of few servers.
+
+use rstest::rstest;
+use toucanwall_policy::crash_causes;
+use toucanwall_policy::crash_causes::CrashCauses;
+use toucanwall_policy::crash_causes::Progress;
+use toucanwall_policy::crash_causes::Step;
+use toucanwall_policy::crash_causes::Verdict;
+use toucanwall_policy::crash_history;
+
+const HOSTS: [&str; 8] = ["h-0", "h-1", "h-2", "h-3", "h-4", "h-5", "h-6", "h-7"];
+const FIRST: u64 = 1;
+const GUILTY: u64 = 2;
+const OTHER: u64 = 3;
+const INTERVAL_MS: u64 = 300;
+/// Time after a crash after which the first host may test a part.
+const PAUSE_MS: u64 = 1_000;
+const BEGUN: Progress = Progress::Answering { since_ms: 60 };
+
+fn run(number: u64) -> crash_history::ServerRun {
+    crash_history::ServerRun { server: "s-1".into(), started_unix_ms: Some(number) }
+}
+
+fn suspect(content_hash: u64, part: u64) -> crash_causes::Suspect {
+    crash_causes::Suspect { content_hash, progress: BEGUN, parts: [FIRST, part].into() }
+}
+
+/// Records a crash at which a part was in flight beside requests that say nothing.
+fn record_crash(causes: &mut CrashCauses, number: u64, part: u64) {
+    let streaming = (1..=6).map(|other| crash_causes::Suspect {
+        progress: Progress::Answering { since_ms: 400 * other },
+        ..suspect(100 * other + number, 1_000 * other + number)
+    });
+    let suspects: Vec<_> = streaming.chain([suspect(number, part)]).collect();
+    let at_ms = number * INTERVAL_MS;
+    causes.record_crash(&run(number), at_ms, &suspects, at_ms);
+}
+
+fn host_after_crashes(name: &str, crashes: u64) -> CrashCauses {
+    let mut causes = CrashCauses::new();
+    causes.set_hosts(name, HOSTS);
+    for number in 0..crashes {
+        record_crash(&mut causes, number, GUILTY);
+    }
+    causes.advance((crashes - 1) * INTERVAL_MS, &mut rand::rng());
+    causes
+}
+
+fn may_send(causes: &mut CrashCauses, now_ms: u64) -> bool {
+    causes.advance(now_ms, &mut rand::rng());
+    causes.verdict(&[FIRST, GUILTY]) == Verdict::Suspected
+}
+
+/// All hosts sent requests with a suspected part as soon as the pause after a crash was over.
+#[rstest]
+#[case::within_the_pause(PAUSE_MS - 1, 0)]
+#[case::after_it(PAUSE_MS, 1)]
+#[case::a_second_later(PAUSE_MS + 1_000, 2)]
+#[case::four_seconds_later(PAUSE_MS + 4_000, HOSTS.len())]
+fn suspected_part_is_tested_by_few_hosts_at_first(#[case] waited_ms: u64, #[case] expected: usize) {
+    let crashes = 3;
+    let now_ms = (crashes - 1) * INTERVAL_MS + waited_ms;
+    let may_send = |name: &&&str| may_send(&mut host_after_crashes(name, crashes), now_ms);
+    assert_eq!(HOSTS.iter().filter(may_send).count(), expected);
+}
+
+#[rstest]
+fn suspected_part_is_tested_by_one_request_at_a_time() {
+    let now_ms = 60_000;
+    let mut causes = host_after_crashes(HOSTS[0], 3);
+    assert!(may_send(&mut causes, now_ms));
+    causes.record_start(&[FIRST, GUILTY]);
+    assert_eq!(causes.verdict(&[FIRST, GUILTY]), Verdict::Held);
+    assert_eq!(causes.verdict(&[FIRST, OTHER]), Verdict::Allowed);
+    causes.record_end(&[FIRST, GUILTY], 100, now_ms);
+    assert_eq!(causes.verdict(&[FIRST, GUILTY]), Verdict::Suspected);
+}
+
+/// Tests of two parts on the same server do not tell them apart.
+#[rstest]
+fn suspected_parts_are_tested_on_different_servers() {
+    for part in 10..40 {
+        let mut causes = CrashCauses::new();
+        for number in 0..3 {
+            record_crash(&mut causes, 2 * number, part);
+            record_crash(&mut causes, 2 * number + 1, 100 + part);
+        }
+        causes.advance(60_000, &mut rand::rng());
+        let mut server = |part: u64| {
+            let mut servers: Vec<_> = (0..4).map(|number| format!("s-{number}")).collect();
+            causes.confine(&[FIRST, part], &mut servers, |id| id);
+            assert_eq!(servers.len(), 1, "part {part}");
+            servers.remove(0)
+        };
+        assert_ne!(server(part), server(100 + part), "part {part}");
+    }
+}
+
+/// A part with a large share of the requests gets no score, and was sent until it had crashed a dozen
+/// servers.
+#[rstest]
+#[case::third_of_the_requests(3, Verdict::Held)]
+#[case::nearly_all_requests(1, Verdict::Allowed)]
+fn frequent_part_that_no_server_has_answered_is_tested(
+    #[case] every: u64,
+    #[case] expected: Verdict,
+) {
+    let mut causes = CrashCauses::new();
+    for number in 0..300 {
+        let part = if number % every == 0 { GUILTY } else { 500 + number };
+        causes.record_end(&[FIRST, part], 100, number);
+    }
+    for number in 1..7 {
+        let guilty = (0..8).map(|other| suspect(1_000 * number + other, GUILTY));
+        let others = (0..8 * (every - 1)).map(|other| suspect(9_000 * number + other, 600 + other));
+        let suspects: Vec<_> = guilty.chain(others).collect();
+        let at_ms = 300 + number * INTERVAL_MS;
+        causes.record_crash(&run(number), at_ms, &suspects, at_ms);
+        for other in 0..8 * (every - 1) {
+            causes.record_survival(&[600 + other], at_ms, crash_causes::WHOLE_ANSWER_MS);
+        }
+    }
+    causes.advance(300 + 6 * INTERVAL_MS, &mut rand::rng());
+    assert_eq!(causes.verdict(&[FIRST, GUILTY]), expected);
+}
+
+/// A sound part that was blocked by mistake took the crashes out of the account of their cause.
+#[rstest]
+fn block_that_does_not_end_the_crashes_explains_nothing() {
+    let mut causes = CrashCauses::new();
+    for number in 0..4 {
+        let suspects = [suspect(number, GUILTY), suspect(100 + number, OTHER)];
+        let at_ms = number * INTERVAL_MS;
+        causes.record_crash(&run(number), at_ms, &suspects, at_ms);
+    }
+    causes.record_block(OTHER, 4 * INTERVAL_MS);
+    let mut steps = Vec::new();
+    for number in 0..3 {
+        let at_ms = 10_000 + number * INTERVAL_MS;
+        let suspects = [suspect(200 + number, GUILTY), suspect(300 + number, 2_000 + number)];
+        causes.record_crash(&run(200 + number), at_ms, &suspects, at_ms);
+        steps.extend(causes.advance(at_ms, &mut rand::rng()));
+    }
+    steps.extend(causes.advance(20_000, &mut rand::rng()));
+    let blocked = |step: &Step| match step {
+        Step::Block { part, runs, .. } => Some((*part, runs.len())),
+        Step::Clear { .. } => None,
+    };
+    assert_eq!(steps.iter().filter_map(blocked).collect::<Vec<_>>(), [(GUILTY, 7)]);
+}
