Clear parts of prompts by answers between crashes, and block the most specific part

Answers to other requests with it had ended by the hundred, but none had begun after the latest crash, since servers crashed faster than answers end; and requests with the cause said nothing against it when the parent was weighed.

An answer now clears its parts of all crashes if it began after the first of them: a cause crashes each server that runs it. A part is not blocked while a further part of the same prompts explains the same crashes. A test counts only if its crash came after hosts had time to confine the part, and a part is blocked without one only if it was in flight at four fifths of the crashes.

Each test of suspected_parts.rs fails with its rule taken out.

--- a/crates/policy/src/crash_causes/mod.rs
+++ b/crates/policy/src/crash_causes/mod.rs
@@ -39,6 +39,8 @@
 pub const MOMENTS_TO_BLOCK: usize = 4;
 /// Crashes at different moments from which a part is blocked although it was not tested.
 const MOMENTS_WITHOUT_TEST: usize = 5;
+/// Fraction of the crashes that such a part must explain.
+const COVERAGE_WITHOUT_TEST: f64 = 0.8;
 /// Time for which a part is held before it is blocked for good, in milliseconds. Longer than the
 /// delay of a clearance and its way through the store.
 pub const HOLD_MS: u64 = 600;
@@ -55,6 +57,8 @@
 /// Fraction of the crashes of a part at which another one must have been in flight to count as an
 /// alternative.
 const RIVAL_FRACTION: f64 = 0.5;
+/// Fraction of the crashes of a part from which a further part of the prompts explains them as well.
+const SAME_CRASHES_FRACTION: f64 = 0.8;
 /// Score from which requests with a part are not sent to further servers after a crash.
 const SUSPECT_SCORE: f64 = 3.0;
 /// Crashes at different moments from which requests with any part that was in flight at one of them are
@@ -166,8 +170,17 @@
     pub uncleared: f64,
     /// Since when it has been suspected, in milliseconds.
     since_ms: u64,
-    /// The value of `moments` when the part became strongly suspected.
-    strong_at: Option<usize>,
+    /// When the part became strongly suspected.
+    strong: Option<StrongSince>,
+}
+
+/// When a part became strongly suspected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct StrongSince {
+    /// Time, in milliseconds.
+    since_ms: u64,
+    /// Crashes at different moments that counted against it then.
+    moments: usize,
 }
 
 impl CrashCauses {
@@ -296,15 +309,17 @@
     }
 
     /// Records that an answer that began at `begun_ms` went on for a time ([`WHOLE_ANSWER_MS`] if it is
-    /// complete), which speaks for its parts at the crashes that this host knew of before.
+    /// complete), which speaks for its parts if this host knew before of a crash that they may have
+    /// caused. A cause crashes each server that runs it, so that crashes meanwhile count as well.
     pub fn record_survival(&mut self, parts: &[u64], begun_ms: u64, survived_ms: u64) {
         for part in parts {
             let Some(account) = self.accounts.get_mut(part) else { continue };
-            for (run, evidence) in &mut account.runs {
-                let learned_ms = self.crashes.get(run).and_then(|crash| crash.learned_ms);
-                if learned_ms.is_some_and(|at_ms| at_ms <= begun_ms)
-                    && evidence.survived_ms < Some(survived_ms)
-                {
+            let learned = account.runs.keys().filter_map(|run| self.crashes.get(run)?.learned_ms);
+            if learned.min().is_none_or(|first_ms| first_ms > begun_ms) {
+                continue;
+            }
+            for evidence in account.runs.values_mut() {
+                if evidence.survived_ms < Some(survived_ms) {
                     evidence.survived_ms = Some(survived_ms);
                     self.has_news = true;
                 }
@@ -434,7 +449,10 @@
             sample = self.sample(&explained);
             candidates = self.candidates(&held, &sample);
             let cause = candidates.iter().find(|(part, it)| {
-                it.is_cause() && self.is_tested(*part, it) && self.stands_out(*part, it, &explained)
+                it.is_cause()
+                    && self.is_tested(*part, it)
+                    && self.is_most_specific(*part)
+                    && self.stands_out(*part, it, &explained)
             });
             let Some((part, _)) = cause else { break };
             held.insert(*part, self.held.get(part).copied().unwrap_or(now_ms));
@@ -450,11 +468,11 @@
                 moments: summary.moments,
                 uncleared: summary.coverage * sample.moments(),
                 since_ms: known.map_or(now_ms, |it| it.since_ms),
-                strong_at: known.and_then(|it| it.strong_at),
+                strong: known.and_then(|it| it.strong),
             };
-            let strong_at =
-                suspicion.is_strong().then(|| suspicion.strong_at.unwrap_or(suspicion.moments));
-            suspected.insert(*part, Suspicion { strong_at, ..suspicion });
+            let begun = StrongSince { since_ms: now_ms, moments: suspicion.moments };
+            let strong = suspicion.is_strong().then(|| suspicion.strong.unwrap_or(begun));
+            suspected.insert(*part, Suspicion { strong, ..suspicion });
         }
         // Crashes that a suspected part may explain do not count against parts without a score.
         for (part, _) in suspected.iter().filter(|(_, suspicion)| suspicion.is_strong()) {
@@ -476,19 +494,52 @@
         self.schedule_clearances(now_ms, rng);
     }
 
-    /// Whether a server has crashed under a part since it has been strongly suspected, or so many have
-    /// that a test would tell no more. Reports that clear a part may come later than those of crashes.
+    /// Whether a server has crashed under a test of a part, or nearly all crashes were under it and a test
+    /// would tell no more. Reports that clear a part may come later than those of crashes.
     fn is_tested(&self, part: u64, summary: &likelihood::Summary) -> bool {
-        let strong_at = self.suspected.get(&part).and_then(|suspicion| suspicion.strong_at);
-        summary.moments >= MOMENTS_WITHOUT_TEST
-            || strong_at.is_some_and(|moments| summary.moments > moments)
+        if summary.moments >= MOMENTS_WITHOUT_TEST && summary.coverage >= COVERAGE_WITHOUT_TEST {
+            return true;
+        }
+        let strong = self.suspected.get(&part).and_then(|suspicion| suspicion.strong);
+        strong.is_some_and(|strong| {
+            let tested_from_ms = strong.since_ms.saturating_add(CONFINED_AFTER_MS);
+            let is_test = |run| {
+                let crash = self.crashes.get(run);
+                crash.and_then(|it| it.learned_ms).is_some_and(|at_ms| at_ms >= tested_from_ms)
+            };
+            self.runs_of(part).iter().any(is_test)
+        })
+    }
+
+    /// Whether no further part of the same prompts explains nearly all crashes of a part: a prompt with a
+    /// cause has the parts before it as well.
+    fn is_most_specific(&self, part: u64) -> bool {
+        let runs = self.runs_of(part);
+        let mut crashes_of: collections::BTreeMap<u64, usize> = collections::BTreeMap::new();
+        for (run, crash) in runs.iter().filter_map(|run| Some((run, self.crashes.get(run)?))) {
+            let behind = |suspect: &Suspect| {
+                let place = suspect.parts.iter().position(|other| *other == part);
+                place.map_or(Vec::new(), |place| suspect.parts[place + 1..].to_vec())
+            };
+            let further: collections::BTreeSet<u64> =
+                crash.suspects.iter().flat_map(behind).collect();
+            for other in further {
+                let evidence = self.accounts.get(&other).and_then(|it| it.runs.get(run));
+                if evidence.is_some_and(|it| !it.is_refuted()) {
+                    *crashes_of.entry(other).or_default() += 1;
+                }
+            }
+        }
+        let needed = likelihood::approximate(runs.len()) * SAME_CRASHES_FRACTION;
+        crashes_of.values().all(|count| likelihood::approximate(*count) < needed)
     }
 
     /// When a strongly suspected part may be tested, in milliseconds.
     fn test_start_ms(&self, part: u64, suspicion: &Suspicion) -> u64 {
         let runs = self.runs_of(part);
         let learned = runs.iter().filter_map(|run| self.crashes.get(run)?.learned_ms);
-        let crashes = suspicion.moments.saturating_sub(suspicion.strong_at.unwrap_or_default());
+        let moments = suspicion.strong.map_or(suspicion.moments, |strong| strong.moments);
+        let crashes = suspicion.moments.saturating_sub(moments);
         learned.max().unwrap_or_default().saturating_add(probation::pause_ms(crashes))
     }
 
--- a/crates/policy/tests/suspected_parts.rs
+++ b/crates/policy/tests/suspected_parts.rs
@@ -148,3 +148,49 @@
     };
     assert_eq!(steps.iter().filter_map(blocked).collect::<Vec<_>>(), [(GUILTY, 7)]);
 }
+
+/// Sound requests were rejected, since their prompts begin like those of the cause.
+#[rstest]
+fn part_that_the_prompts_of_a_cause_begin_with_is_not_blocked() {
+    const PARENT: u64 = 50;
+    let mut causes = CrashCauses::new();
+    // A host that has seen few other requests takes the cause for a frequent part.
+    for number in 0..40 {
+        causes.record_end(&[GUILTY], 100, number);
+    }
+    for number in 0..6 {
+        let at_ms = number * INTERVAL_MS;
+        let with_parts = |content_hash, parts: &[u64]| crash_causes::Suspect {
+            content_hash,
+            progress: BEGUN,
+            parts: parts.into(),
+        };
+        let others =
+            (2..20).map(|other| with_parts(100 * other + number, &[FIRST, 1_000 * other + number]));
+        let cause = with_parts(number, &[PARENT, GUILTY]);
+        let suspects: Vec<_> = others.chain([cause]).collect();
+        causes.record_crash(&run(number), at_ms, &suspects, at_ms);
+    }
+    let mut steps = causes.advance(6 * INTERVAL_MS, &mut rand::rng());
+    steps.extend(causes.advance(6 * INTERVAL_MS + crash_causes::HOLD_MS, &mut rand::rng()));
+    assert!(!causes.blocked_parts().contains(&PARENT), "{steps:?}");
+}
+
+/// Servers crashed faster than answers end, so that no answer had begun after the latest crash.
+#[rstest]
+#[case::begun_before_the_first_crash(0, false)]
+#[case::begun_after_the_first_crash(INTERVAL_MS + 1, true)]
+fn answer_that_ends_between_crashes_clears_its_parts(
+    #[case] begun_ms: u64,
+    #[case] is_cleared: bool,
+) {
+    let mut causes = CrashCauses::new();
+    causes.set_hosts(HOSTS[0], [HOSTS[0]]);
+    for number in 1..7 {
+        record_crash(&mut causes, number, GUILTY);
+    }
+    let now_ms = 7 * INTERVAL_MS;
+    causes.record_survival(&[FIRST, GUILTY], begun_ms, crash_causes::WHOLE_ANSWER_MS);
+    causes.advance(now_ms, &mut rand::rng());
+    assert_eq!(causes.verdict(&[FIRST, GUILTY]) == Verdict::Allowed, is_cleared);
+}
