Watch the kinds of objects in the store that a relay does not follow

During an upgrade, a host behind a relay of the earlier build was ready only after contact_ms (3 s), since such a relay sends no reports of crashes, and it never heard of later ones.

--- a/crates/gateway/src/change_feed.rs
+++ b/crates/gateway/src/change_feed.rs
@@ -70,6 +70,16 @@
     pub metrics: Arc<metrics::Metrics>,
 }
 
+/// Dependencies of the watchers of the store.
+#[derive(Debug)]
+pub struct WatchInputs {
+    settings: Arc<settings::Settings>,
+    latest_era: era::LatestEra,
+    tracker: reachability::Tracker,
+    events: tokio::sync::mpsc::UnboundedSender<store_event::Event>,
+    metrics: Arc<metrics::Metrics>,
+}
+
 /// Receives store events from the current source and sends them to the control thread.
 #[derive(Debug)]
 pub struct ChangeFeed {
@@ -90,6 +100,38 @@
     pub fn store_client(&self) -> store::StoreClient {
         store::StoreClient::new(self.settings.store_address, self.latest_era.clone())
     }
+
+    /// What watchers of the store need.
+    #[must_use]
+    pub fn watch_inputs(&self) -> WatchInputs {
+        let max_age_ms = self.settings.bounds.contact_ms * 2 / 3;
+        WatchInputs {
+            settings: Arc::clone(&self.settings),
+            latest_era: self.latest_era.clone(),
+            tracker: reachability::Tracker::new(self.clock, max_age_ms),
+            events: self.events.clone(),
+            metrics: Arc::clone(&self.metrics),
+        }
+    }
+}
+
+impl WatchInputs {
+    /// Creates a watcher of a kind of objects.
+    #[must_use]
+    pub fn watcher(&self, kind: object::Kind) -> watcher::Watcher {
+        let bounds = &self.settings.bounds;
+        let batch_ms = match kind {
+            object::Kind::Configuration => bounds.config_apply_ms / BATCH_DIVISOR,
+            object::Kind::Servers => bounds.drain_ms / BATCH_DIVISOR,
+            object::Kind::Hosts | object::Kind::CrashReports => {
+                bounds.contact_ms / CONTACT_BATCH_DIVISOR
+            }
+            object::Kind::Rollouts | object::Kind::Evacuations => 0,
+        };
+        let store = store::StoreClient::new(self.settings.store_address, self.latest_era.clone());
+        let (tracker, events) = (self.tracker.clone(), self.events.clone());
+        watcher::Watcher::new(kind, store, batch_ms, tracker, events, Arc::clone(&self.metrics))
+    }
 }
 
 impl ChangeFeed {
@@ -162,36 +204,19 @@
     /// Starts the probe and the watchers of all kinds, which run until the set is dropped.
     fn start_watchers(&self, tracker: &reachability::Tracker) -> tokio::task::JoinSet<()> {
         let settings = &self.inputs.settings;
-        let events = || self.inputs.events.clone();
-        let metrics = || Arc::clone(&self.inputs.metrics);
         let mut watchers = tokio::task::JoinSet::new();
         let probe = store_probe::StoreProbe::new(store_probe::Inputs {
             store: self.inputs.store_client(),
             host: settings.host.as_str().into(),
             tracker: tracker.clone(),
             relay: Arc::clone(&self.inputs.relay),
-            events: events(),
-            metrics: metrics(),
+            events: self.inputs.events.clone(),
+            metrics: Arc::clone(&self.inputs.metrics),
         });
         watchers.spawn(probe.run());
-        let kinds = [
-            (object::Kind::Configuration, settings.bounds.config_apply_ms / BATCH_DIVISOR),
-            (object::Kind::Servers, settings.bounds.drain_ms / BATCH_DIVISOR),
-            (object::Kind::Rollouts, 0),
-            (object::Kind::Hosts, settings.bounds.contact_ms / CONTACT_BATCH_DIVISOR),
-            (object::Kind::CrashReports, settings.bounds.contact_ms / CONTACT_BATCH_DIVISOR),
-        ];
-        let evacuations = settings.bounds.evacuation_ms.map(|_| (object::Kind::Evacuations, 0));
-        for (kind, batch_ms) in kinds.into_iter().chain(evacuations) {
-            let watcher = watcher::Watcher::new(
-                kind,
-                self.inputs.store_client(),
-                batch_ms,
-                tracker.clone(),
-                events(),
-                metrics(),
-            );
-            watchers.spawn(watcher.run());
+        let inputs = WatchInputs { tracker: tracker.clone(), ..self.inputs.watch_inputs() };
+        for kind in followed_kinds(settings) {
+            watchers.spawn(inputs.watcher(kind).run());
         }
         watchers
     }
@@ -294,7 +319,8 @@
 }
 
 /// The kinds of objects that hosts follow. A relay serves only those that it follows itself.
-fn followed_kinds(settings: &settings::Settings) -> Vec<object::Kind> {
+#[must_use]
+pub fn followed_kinds(settings: &settings::Settings) -> Vec<object::Kind> {
     let has_evacuations = settings.bounds.evacuation_ms.is_some();
     let is_followed = |kind: &object::Kind| has_evacuations || *kind != object::Kind::Evacuations;
     object::Kind::ALL.into_iter().filter(is_followed).collect()
--- a/crates/gateway/src/relay_session.rs
+++ b/crates/gateway/src/relay_session.rs
@@ -1,5 +1,6 @@
 //! A session with one relay: receives its messages and decides when to leave it.
 
+use std::collections;
 use std::io;
 use std::sync::Arc;
 use std::time;
@@ -39,6 +40,12 @@
     store: Option<store::StoreClient>,
     /// The running probe of the store.
     probe: Option<tokio::task::JoinHandle<(store::StoreClient, bool)>>,
+    /// Kinds of objects that this host follows and the relay has not listed. It lists those that it
+    /// follows before its first heartbeat.
+    unlisted: collections::BTreeSet<object::Kind>,
+    /// Watches the kinds that the relay does not follow, since it is of an earlier build.
+    watchers: tokio::task::JoinSet<()>,
+    inputs: change_feed::WatchInputs,
     /// The reachability of the store that was last reported.
     has_store: Option<bool>,
     ticks: tokio::time::Interval,
@@ -71,6 +78,9 @@
             latest_era: inputs.latest_era.clone(),
             store: Some(inputs.store_client()),
             probe: None,
+            unlisted: change_feed::followed_kinds(&inputs.settings).into_iter().collect(),
+            watchers: tokio::task::JoinSet::new(),
+            inputs: inputs.watch_inputs(),
             has_store: None,
             ticks,
         }
@@ -102,12 +112,16 @@
         let now_ms = self.clock.now_ms();
         self.health.record_message(now_ms);
         match frame {
-            Ok(frame::Frame::Listing(listing)) => self.send(store_event::Event::Listed(listing)),
+            Ok(frame::Frame::Listing(listing)) => {
+                self.unlisted.remove(&listing.kind);
+                self.send(store_event::Event::Listed(listing));
+            }
             Ok(frame::Frame::ChangeSet(change_set)) => {
                 self.send(store_event::Event::Changed(change_set));
             }
             Ok(frame::Frame::Heartbeat { store_age_ms, has_store }) => {
                 self.health.record_heartbeat(store_age_ms, has_store, now_ms);
+                self.watch_unlisted();
                 // A store that the relay cannot reach counts as unreachable only once this host's
                 // own probe fails too.
                 if has_store {
@@ -119,6 +133,17 @@
         Next::Continue
     }
 
+    /// Watches the kinds in the store that the relay does not send.
+    fn watch_unlisted(&mut self) {
+        for kind in std::mem::take(&mut self.unlisted) {
+            log::info!(
+                target: "toucanwall", kind = kind.as_str();
+                "the relay does not follow a kind of objects; watching it in the store"
+            );
+            self.watchers.spawn(self.inputs.watcher(kind).run());
+        }
+    }
+
     fn check_health(&mut self) -> Next {
         match self.health.next_action(self.clock.now_ms()) {
             relay::Action::Continue => Next::Continue,
