--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -423,6 +423,7 @@
         if suspect.parts.is_empty() {
             return;
         }
+        lock(&self.knowledge).causes.record_given_up(&suspect.parts, now_ms);
         let mut given_up = lock(&self.given_up);
         given_up.retain(|it| now_ms < it.at_ms + GIVEN_UP_MS);
         if given_up.len() >= MAX_GIVEN_UP {
--- a/crates/policy/src/crash_causes/mod.rs
+++ b/crates/policy/src/crash_causes/mod.rs
@@ -261,6 +261,11 @@
         self.probation.record_start(parts);
     }
 
+    /// Records that a request was given up, whose server may still crash.
+    pub fn record_given_up(&mut self, parts: &[u64], now_ms: u64) {
+        self.probation.record_given_up(parts, now_ms);
+    }
+
     /// Records that a request that was sent to a server has ended.
     pub fn record_end(&mut self, parts: &[u64], in_flight_ms: u64, now_ms: u64) {
         self.probation.record_end(parts);
--- a/crates/policy/src/crash_causes/probation.rs
+++ b/crates/policy/src/crash_causes/probation.rs
@@ -20,6 +20,10 @@
 /// with the way of their result to other hosts.
 const DOUBLING_MS: u64 = 1_000;
 
+/// Time for which a test whose request was given up counts as running, in milliseconds: its server may
+/// still crash, and other hosts have to learn of that.
+const GIVEN_UP_MS: u64 = 1_000;
+
 /// The strongly suspected parts, and whether this host may send requests with them.
 #[derive(Debug, Default)]
 pub struct Probation {
@@ -32,6 +36,8 @@
     open: collections::BTreeSet<u64>,
     /// Number of this host's requests in flight with each part.
     in_flight: collections::BTreeMap<u64, usize>,
+    /// Until when tests that were given up count as running, in milliseconds.
+    given_up_until_ms: collections::BTreeMap<u64, u64>,
 }
 
 impl Probation {
@@ -74,13 +80,22 @@
         }
     }
 
+    /// Records that a request was given up, whose server may still crash.
+    pub fn record_given_up(&mut self, parts: &[u64], now_ms: u64) {
+        for part in parts.iter().filter(|part| self.tested_from_ms.contains_key(part)) {
+            self.open.remove(part);
+            self.given_up_until_ms.insert(*part, now_ms.saturating_add(GIVEN_UP_MS));
+        }
+    }
+
     /// Decides which parts this host may test now.
     pub fn advance(&mut self, now_ms: u64) {
+        self.given_up_until_ms.retain(|_, until_ms| now_ms < *until_ms);
         let is_open = |(part, from_ms): &(&u64, &u64)| {
             now_ms.checked_sub(**from_ms).is_some_and(|waited_ms| {
                 let doublings = u32::try_from(waited_ms / DOUBLING_MS).unwrap_or(u32::MAX);
                 let testing = 1_usize.checked_shl(doublings).unwrap_or(usize::MAX);
-                self.rank(**part) < testing
+                self.rank(**part) < testing && !self.given_up_until_ms.contains_key(part)
             })
         };
         self.open = self.tested_from_ms.iter().filter(is_open).map(|(part, _)| *part).collect();
--- a/crates/policy/tests/suspected_parts.rs
+++ b/crates/policy/tests/suspected_parts.rs
@@ -76,6 +76,19 @@
     assert_eq!(causes.verdict(&[FIRST, GUILTY]), Verdict::Suspected);
 }
 
+/// Callers that left before their server crashed let the next request follow at once.
+#[rstest]
+fn test_that_its_caller_gives_up_counts_as_running_for_a_while() {
+    let now_ms = 60_000;
+    let mut causes = host_after_crashes(HOSTS[0], 3);
+    assert!(may_send(&mut causes, now_ms));
+    causes.record_start(&[FIRST, GUILTY]);
+    causes.record_given_up(&[FIRST, GUILTY], now_ms);
+    causes.record_end(&[FIRST, GUILTY], 40, now_ms);
+    assert!(!may_send(&mut causes, now_ms + 900));
+    assert!(may_send(&mut causes, now_ms + 1_000));
+}
+
 /// Tests of two parts on the same server do not tell them apart.
 #[rstest]
 fn suspected_parts_are_tested_on_different_servers() {
