Report requests that were given up before other hosts noticed a crash

Where callers leave before their server crashes, only their host knows of the request, and only hosts with other requests there notice the crash. A host now adds its requests that were given up shortly before when it learns of a crash from another host.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -25,6 +25,9 @@
 /// Time for which a request that was given up may be the cause of its server's end, in
 /// milliseconds. Servers crash shortly after they begin an answer, whether or not it is awaited.
 const GIVEN_UP_MS: u64 = 500;
+/// Time for which a request that was given up is remembered, in milliseconds: reports of other hosts that
+/// noticed the end of its server arrive within it.
+const GIVEN_UP_RETENTION_MS: u64 = 3_000;
 /// Maximum number of requests in a report, which bounds its size.
 const MAX_REPORTED: usize = 128;
 /// Age of an answer up to which an earlier build counts its request as just begun, in milliseconds.
@@ -425,7 +428,7 @@
         }
         lock(&self.knowledge).causes.record_given_up(&suspect.parts, now_ms);
         let mut given_up = lock(&self.given_up);
-        given_up.retain(|it| now_ms < it.at_ms + GIVEN_UP_MS);
+        given_up.retain(|it| now_ms < it.at_ms + GIVEN_UP_RETENTION_MS);
         if given_up.len() >= MAX_GIVEN_UP {
             given_up.pop_front();
         }
@@ -475,21 +478,7 @@
             !suspect.parts.is_empty() || suspect.progress.since_ms() >= START_MS
         };
         let mut suspects: Vec<_> = suspects.into_iter().filter(is_reported).collect();
-        let mut given_up = lock(&self.given_up);
-        given_up.retain(|it| {
-            let given_up_ms = now.monotonic_ms.saturating_sub(it.at_ms);
-            let is_recent = given_up_ms < GIVEN_UP_MS;
-            let is_of_run = it.run == run;
-            if is_recent && is_of_run {
-                let mut suspect = it.suspect.clone();
-                if let crash_causes::Progress::Answering { since_ms } = &mut suspect.progress {
-                    *since_ms += given_up_ms;
-                }
-                suspects.push(suspect);
-            }
-            is_recent && !is_of_run
-        });
-        drop(given_up);
+        suspects.extend(self.take_given_up(&run, now.monotonic_ms));
         if suspects.is_empty() {
             return;
         }
@@ -497,6 +486,28 @@
         lock(&self.unreported).entry(run).or_default().suspects.extend(suspects);
     }
 
+    /// Takes the requests to a run of a server that were given up shortly before it ended at `ended_ms`.
+    fn take_given_up(
+        &self,
+        run: &crash_history::ServerRun,
+        ended_ms: u64,
+    ) -> Vec<crash_causes::Suspect> {
+        let mut suspects = Vec::new();
+        lock(&self.given_up).retain(|it| {
+            let given_up_ms = ended_ms.saturating_sub(it.at_ms);
+            if it.run != *run || given_up_ms >= GIVEN_UP_MS {
+                return ended_ms < it.at_ms + GIVEN_UP_RETENTION_MS;
+            }
+            let mut suspect = it.suspect.clone();
+            if let crash_causes::Progress::Answering { since_ms } = &mut suspect.progress {
+                *since_ms += given_up_ms;
+            }
+            suspects.push(suspect);
+            false
+        });
+        suspects
+    }
+
     /// Records an entry that the store shows.
     pub fn merge(&self, entry: &Entry, now: rollouts::Timestamp) {
         match entry {
@@ -536,6 +547,14 @@
             knowledge.history.record_crash(suspect.content_hash, run.clone(), answered_ms, at_ms);
         }
         knowledge.record_suspects(&run, report.noticed_unix_ms, &suspects, now.monotonic_ms);
+        // Only this host knows of its requests that were given up before the server ended.
+        let given_up = self.take_given_up(&run, at_ms);
+        if !given_up.is_empty() {
+            let noticed_unix_ms = report.noticed_unix_ms;
+            knowledge.record_suspects(&run, noticed_unix_ms, &given_up, now.monotonic_ms);
+            drop(knowledge);
+            lock(&self.unreported).entry(run).or_default().suspects.extend(given_up);
+        }
     }
 
     fn block(&self, part: u64, now_ms: u64) {
