Send to cold servers within a limit that holds over all hosts

Servers that have just started crash above cold_per_s x cold_overshoot + cold_tolerance requests in a second, and hosts did not read these figures.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use toucanwall_policy::server_notices;
 use toucanwall_routing::server;
 
+use crate::cold_starts;
 use crate::crashes;
 use crate::exchange;
 use crate::execution;
@@ -76,6 +77,10 @@
     /// sent.
     #[error("server has reached its limit")]
     Limited,
+    /// The server is cold, and other requests have used up this host's share since it was chosen; the
+    /// request was not sent.
+    #[error("server is cold")]
+    Cold,
     /// A part of the prompt has been found to end servers since the server was chosen.
     #[error("a part of the prompt ends servers")]
     Blocked,
@@ -140,6 +145,7 @@
             Self::Leaving
                 | Self::Paused
                 | Self::Limited
+                | Self::Cold
                 | Self::Blocked
                 | Self::Unreachable(_)
                 | Self::Declined(_)
@@ -221,10 +227,13 @@
             }
         };
         exchange.state.metrics.record_connection(connection.is_new());
-        if let Err(error) = check_still_allowed(exchange, &in_flight.server, permit) {
-            in_flight.record_outcome(placement::Outcome::Cancelled);
-            return Err((error, not_written));
-        }
+        let cold_permission = match check_still_allowed(exchange, &in_flight.server, permit) {
+            Ok(permission) => permission,
+            Err(error) => {
+                in_flight.record_outcome(placement::Outcome::Cancelled);
+                return Err((error, not_written));
+            }
+        };
         let mut request = exchange.request_to(&in_flight.server).map_err(|error| {
             let error = AttemptError::Broken(error.to_string());
             (error, not_written)
@@ -254,6 +263,7 @@
             // the request is sent again on a new connection.
             Ok(Err(pool::SendError::NotWritten)) if !connection.is_new() => {
                 reuse_policy = None;
+                exchange.state.cold_starts.give_back(&in_flight.server.id, cold_permission);
                 in_flight.end_run();
                 continue;
             }
@@ -292,17 +302,19 @@
             head.pause,
         );
         limits::record_response(&exchange.state, &in_flight, &exchange.head.attempt_id, &head);
+        cold_starts::record_response(&exchange.state, &in_flight, &head);
         return validate(OpenResponse { head, parts, body, connection, in_flight });
     }
 }
 
 /// Checks what the host may have learned while the connection was being opened: that the server leaves,
-/// has asked for a pause or names a limit, or that a part of the prompt ends servers.
+/// has asked for a pause or names a limit, or that a part of the prompt ends servers. Counts the request
+/// if the server is cold.
 fn check_still_allowed(
     exchange: &exchange::Exchange,
     server: &server::BackendServer,
     permit: Option<server_limits::Permit>,
-) -> Result<(), AttemptError> {
+) -> Result<cold_starts::Permission, AttemptError> {
     match exchange.state.current_acceptance(server) {
         server_notices::Acceptance::Accepts => {}
         server_notices::Acceptance::Paused { .. } => return Err(AttemptError::Paused),
@@ -318,12 +330,19 @@
         | crashes::Verdict::Allowed => {}
     }
     match exchange.state.limits.take_permit(server, permit, now_ms) {
-        limits::Permission::Unlimited => Ok(()),
+        limits::Permission::Unlimited => {}
         limits::Permission::Permitted(_) => {
             exchange.state.metrics.record_limited_send(&server.service);
-            Ok(())
         }
-        limits::Permission::Denied => Err(AttemptError::Limited),
+        limits::Permission::Denied => return Err(AttemptError::Limited),
+    }
+    match exchange.state.cold_starts.take(server, now_ms) {
+        cold_starts::Permission::Open => Ok(cold_starts::Permission::Open),
+        counted @ cold_starts::Permission::Counted { .. } => {
+            exchange.state.metrics.record_cold_send(&server.service);
+            Ok(counted)
+        }
+        cold_starts::Permission::Denied => Err(AttemptError::Cold),
     }
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -29,6 +29,7 @@
 
 use crate::change_feed;
 use crate::clock;
+use crate::cold_starts;
 use crate::crashes;
 use crate::datagrams;
 use crate::ingress;
@@ -82,6 +83,8 @@
     pub notices: Arc<Mutex<server_notices::ServerNotices>>,
     /// Limits that servers name, shared with the traffic thread.
     pub limits: Arc<limits::Limits>,
+    /// Cold servers, shared with the traffic thread.
+    pub cold_starts: Arc<cold_starts::ColdStarts>,
     /// Requests under which servers ended, shared with the traffic thread.
     pub crashes: Arc<crashes::Crashes>,
     /// Roll-outs known to this host, shared with the traffic thread.
@@ -477,6 +480,8 @@
                 let servers = objects.iter().filter_map(|object| {
                     let server = registration::decode(object);
                     let server = server.map_err(|error| log_malformed(&error)).ok()?;
+                    let (_, position) = stored_at(object, era);
+                    self.inputs.cold_starts.record_entry(&server, object, position, now_ms);
                     Some(registered(server, object, era))
                 });
                 let servers: Vec<_> = servers.collect();
@@ -528,6 +533,8 @@
                         revision = change.object.metadata.revision; "server entry"
                     );
                     self.note_readiness(&server, now_ms);
+                    let (_, stored) = stored_at(&change.object, position.era);
+                    self.inputs.cold_starts.record_entry(&server, &change.object, stored, now_ms);
                     let registration = registered(server, &change.object, position.era);
                     self.local_state.put_server(registration, now_ms);
                 }
@@ -708,6 +715,7 @@
             !view.silent_hosts.is_empty(),
             self.inputs.clock.now_ms(),
         );
+        self.inputs.cold_starts.update_view(&previous, &view, self.inputs.clock.now_ms());
         let hosts = view.serving_hosts().map(|host| &host.name);
         self.inputs.crashes.set_hosts(&self.inputs.settings.host, hosts);
         let hosts = view.serving_host_count();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,6 +10,7 @@
 use toucanwall_policy::admission;
 use toucanwall_policy::attribution;
 use toucanwall_policy::canary;
+use toucanwall_policy::cold_starts;
 use toucanwall_policy::crash_causes;
 use toucanwall_policy::placement;
 use toucanwall_policy::server_limits;
@@ -121,6 +122,8 @@
     pub side: Option<canary::Side>,
     /// Server that would have been chosen if there were a permit for it.
     pub without_permit: Option<name::ServerId>,
+    /// Whether servers were left out because they are cold.
+    pub has_held_back: bool,
 }
 
 /// Decision on whether to make another attempt.
@@ -295,13 +298,14 @@
     }
 
     /// Does not count an attempt whose request was not sent because the server had begun to leave or
-    /// to pause, or had reached its limit.
+    /// to pause, or had reached its limit, or was cold.
     fn uncount_unsent(&mut self, error: &attempt::AttemptError) {
         if matches!(
             error,
             attempt::AttemptError::Leaving
                 | attempt::AttemptError::Paused
                 | attempt::AttemptError::Limited
+                | attempt::AttemptError::Cold
         ) {
             self.attempts = self.attempts.saturating_sub(1);
         }
@@ -355,6 +359,10 @@
             self.state.limits.record_demand(id, self.caller_priority(), now_ms);
         }
         let side = selection.side;
+        if selection.has_held_back {
+            let has_other = matches!(selection.choice, placement::Choice::Server { .. });
+            self.state.metrics.record_cold_hold(&self.service, has_other);
+        }
         match (selection.choice, selection.without_permit) {
             (placement::Choice::Server { server, units }, _) => {
                 let chosen = Assignment { server, side, units, permit: None };
@@ -366,6 +374,12 @@
             (placement::Choice::Full, None) => {
                 Self::give_up(execution, bad_gateway, Some(RETRY_SOON_MS), "all servers full")
             }
+            (placement::Choice::NoServer, None) if selection.has_held_back => {
+                let retry_after_ms =
+                    cold_starts::retry_after_ms(self.caller_priority(), rand::rng().random());
+                let reason = "all servers are cold";
+                Self::give_up_until(execution, bad_gateway, Some(retry_after_ms), reason)
+            }
             (placement::Choice::NoServer, None) => self.give_up_without_server(execution, now_ms),
         }
     }
@@ -513,28 +527,34 @@
         let (mut servers, mut side) = self.servers_on_side(request, now_ms);
         self.state.retain_accepting(&mut servers);
         let mut exhausted = self.state.limits.exhausted(&servers, self.place, now_ms);
-        if side == Some(canary::Side::Target) && exhausted.len() == servers.len() {
+        let mut held_back = self.state.cold_starts.held_back(&servers, now_ms);
+        let is_unavailable = |server: &Arc<server::BackendServer>| {
+            exhausted.contains(&server.id) || held_back.contains(&server.id)
+        };
+        if side == Some(canary::Side::Target) && servers.iter().all(is_unavailable) {
             // A session stays on its side all the same.
             let on_baseline = canary::Request { has_failed_on_target: true, ..request };
             (servers, side) = self.servers_on_side(on_baseline, now_ms);
             self.state.retain_accepting(&mut servers);
             exhausted = self.state.limits.exhausted(&servers, self.place, now_ms);
+            held_back = self.state.cold_starts.held_back(&servers, now_ms);
         }
-        servers.retain(|server| !excluded.contains(&server.id));
+        servers.retain(|server| !excluded.contains(&server.id) && !held_back.contains(&server.id));
+        let has_held_back = !held_back.is_empty();
         self.state.crashes.confine(&self.part_hashes, &mut servers);
         let placement = self.state.placement();
         let rng = &mut rand::rng();
         let choice = placement.choose(placement_request, &servers, excluded, now_ms, rng);
         let placement::Choice::Server { server, .. } = &choice else {
-            return Selection { choice, side, without_permit: None };
+            return Selection { choice, side, without_permit: None, has_held_back };
         };
         if !exhausted.contains(&server.id) {
-            return Selection { choice, side, without_permit: None };
+            return Selection { choice, side, without_permit: None, has_held_back };
         }
         let without_permit = Some(server.id.clone());
         exhausted.extend(excluded.iter().cloned());
         let choice = placement.choose(placement_request, &servers, &exhausted, now_ms, rng);
-        Selection { choice, side, without_permit }
+        Selection { choice, side, without_permit, has_held_back }
     }
 
     /// The servers that may run a request, some of which may pause. Pauses end, so they do not move a
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller_stream;
 mod change_feed;
 mod clock;
+mod cold_starts;
 mod control;
 mod crashes;
 mod datagrams;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,6 +20,7 @@
 use toucanwall_routing::view;
 
 use crate::clock;
+use crate::cold_starts;
 use crate::control;
 use crate::crashes;
 use crate::endpoints;
@@ -125,6 +126,8 @@
         settings.bounds.contact_ms,
         rand::rng().random(),
     ));
+    let cold_starts =
+        Arc::new(cold_starts::ColdStarts::new(settings.host.clone(), &settings.bounds));
     let (views, view) = tokio::sync::watch::channel(Arc::new(view::View::default()));
     let address = settings.peer_address;
     let peer_listener = net::TcpListener::bind(address)
@@ -142,6 +145,7 @@
         views,
         notices: Arc::clone(&notices),
         limits: Arc::clone(&limits),
+        cold_starts: Arc::clone(&cold_starts),
         rollouts: Arc::clone(&rollouts),
         crashes: Arc::clone(&crashes),
         metrics: Arc::clone(&metrics),
@@ -154,6 +158,7 @@
         view,
         notices,
         limits,
+        cold_starts,
         rollouts,
         crashes,
         metrics,
@@ -286,6 +291,7 @@
         state.placement().retain(is_known);
         state.notices().retain_known(is_known, state.clock.now_ms());
         state.limits.retain_known(is_known, state.clock.now_ms());
+        state.cold_starts.tick(&state.metrics, is_known, state.clock.now_ms());
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,6 +18,7 @@
 use toucanwall_routing::view;
 
 use crate::clock;
+use crate::cold_starts;
 use crate::crashes;
 use crate::limits;
 use crate::memory_budget;
@@ -44,6 +45,8 @@
     notices: Arc<Mutex<server_notices::ServerNotices>>,
     /// Limits that servers name, shared with the control thread.
     pub limits: Arc<limits::Limits>,
+    /// Cold servers, shared with the control thread.
+    pub cold_starts: Arc<cold_starts::ColdStarts>,
     /// Roll-outs in progress.
     pub rollouts: Arc<rollouts::Rollouts>,
     /// Requests under which servers ended.
@@ -74,6 +77,8 @@
     pub notices: Arc<Mutex<server_notices::ServerNotices>>,
     /// Limits that servers name.
     pub limits: Arc<limits::Limits>,
+    /// Cold servers.
+    pub cold_starts: Arc<cold_starts::ColdStarts>,
     /// Roll-outs in progress.
     pub rollouts: Arc<rollouts::Rollouts>,
     /// Requests under which servers ended.
@@ -108,7 +113,17 @@
     /// Creates the state of a host that has received no requests.
     #[must_use]
     pub fn new(inputs: Inputs) -> Self {
-        let Inputs { settings, clock, view, notices, limits, rollouts, crashes, metrics } = inputs;
+        let Inputs {
+            settings,
+            clock,
+            view,
+            notices,
+            limits,
+            cold_starts,
+            rollouts,
+            crashes,
+            metrics,
+        } = inputs;
         let memory_budget = memory_budget::MemoryBudget::new(settings.memory_bytes);
         Self {
             settings,
@@ -119,6 +134,7 @@
             placement: Mutex::new(placement::Placement::new()),
             notices,
             limits,
+            cold_starts,
             rollouts,
             crashes,
             metrics,
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -112,6 +112,17 @@
     pub max_connections: u32,
     /// Capacity of the model engines, if the service's servers are engines.
     pub engine: Option<Engine>,
+    /// Limit of servers that have just started, if they have one.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// Limit of servers that have just started.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Time for which a server is cold after its start, in milliseconds.
+    pub start_ms: u64,
+    /// Requests a second that a cold server takes from all hosts together.
+    pub per_s: f64,
 }
 
 /// Capacity and prices of each model engine of a service.
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -61,4 +61,15 @@
     pub evacuation_ms: Option<u64>,
     /// Maximum time for which callers cache a discovery response, in milliseconds.
     pub discovery_ttl_max_ms: u64,
+    /// Requests that cold servers bear; `None` if the deployment has no limits for cold servers.
+    pub cold_bounds: Option<ColdBounds>,
+}
+
+/// Requests that cold servers bear in any second beyond the rate that their service names.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdBounds {
+    /// Factor by which the rate is multiplied.
+    pub overshoot: f64,
+    /// Requests in addition to that.
+    pub tolerance: f64,
 }
