--- a/crates/daemon/tests/gateway_fleet/mod.rs
+++ b/crates/daemon/tests/gateway_fleet/mod.rs
@@ -45,6 +45,8 @@
     /// Memory in the settings of hosts that are started from now on, in megabytes; `None` if they do
     /// not state it.
     pub memory_mb: Option<u64>,
+    /// Overshoot and tolerance of cold servers in the settings of hosts that are started from now on.
+    pub cold_bounds: Option<(f64, u64)>,
     /// Address of the store in the settings of hosts that are started from now on.
     pub store_address: net::SocketAddr,
     temp_dir: tempfile::TempDir,
@@ -184,6 +186,7 @@
             retry_allowance: None,
             grace_s: GRACE_S,
             memory_mb: None,
+            cold_bounds: None,
             store_address: store.address,
             store,
             hosts: Vec::new(),
@@ -230,6 +233,13 @@
         self.store.put("servers", &server.id, &spec);
     }
 
+    /// Registers a server that says for how long it stays cold.
+    pub fn register_cold(&self, service: &str, server: &backend::Backend, remaining_ms: u64) {
+        let mut spec = server_entry(service, server.address, "v1", "ready");
+        spec["cold_remaining_ms"] = remaining_ms.into();
+        self.store.put("servers", &server.id, &spec);
+    }
+
     /// Starts the next host.
     pub fn add_host(&mut self) {
         let host = self.spawn(self.hosts.len());
@@ -437,13 +447,16 @@
         let limits = self
             .memory_mb
             .map_or_else(String::new, |memory_mb| format!("limits:\n  memory_mb: {memory_mb}\n"));
+        let cold_bounds = self.cold_bounds.map_or_else(String::new, |(overshoot, tolerance)| {
+            format!("  cold_overshoot: {overshoot}\n  cold_tolerance: {tolerance}\n")
+        });
         let (ratio, allowance) = self.retry_allowance.map_or((0.9, 52), |extra| (0.0, extra));
         format!(
             "node_name: host-{index}\nzone: dc-1\nregion: r\nip: {ip}\nheartbeat_ms: 1200\n\
              listen:\n  frontend: {ip}:{CALLER_PORT}\n  ready: {ip}:{READINESS_PORT}\n  registry: {ip}:{REGISTRY_PORT}\n\
              internal_ports:\n  - {FIRST_INTERNAL_PORT}\n  - {LAST_INTERNAL_PORT}\n\
              bounds:\n  contact_ms: 3000\n  config_apply_ms: 2000\n  drain_ms: 2000\n  grace_s: {grace_s}\n  \
-             retry_budget_ratio: {ratio}\n  budget_window_s: 10\n  retry_allowance: {allowance}\n\
+             retry_budget_ratio: {ratio}\n  budget_window_s: 10\n  retry_allowance: {allowance}\n{cold_bounds}\
              platform:\n  address: {store}\n{limits}"
         )
     }
