Test evacuations of data centres with real processes

Only unit tests covered evacuations, so a path that sends to an evacuated data centre, or a host that misses an evacuation, went unnoticed.

--- a/crates/daemon/tests/gateway_fleet/mod.rs
+++ b/crates/daemon/tests/gateway_fleet/mod.rs
@@ -45,6 +45,9 @@
     /// Memory in the settings of hosts that are started from now on, in megabytes; `None` if they do
     /// not state it.
     pub memory_mb: Option<u64>,
+    /// Bound for evacuations in the settings of hosts that are started from now on; `None` if the
+    /// deployment has no evacuations.
+    pub evacuation_ms: Option<u64>,
     /// Address of the store in the settings of hosts that are started from now on.
     pub store_address: net::SocketAddr,
     temp_dir: tempfile::TempDir,
@@ -184,6 +187,7 @@
             retry_allowance: None,
             grace_s: GRACE_S,
             memory_mb: None,
+            evacuation_ms: None,
             store_address: store.address,
             store,
             hosts: Vec::new(),
@@ -223,6 +227,13 @@
         self.store.put("servers", &server.id, &spec);
     }
 
+    /// Registers a server in the given data centre.
+    pub fn register_in(&self, service: &str, server: &backend::Backend, data_centre: &str) {
+        let mut spec = server_entry(service, server.address, "v1", "ready");
+        spec["zone"] = data_centre.into();
+        self.store.put("servers", &server.id, &spec);
+    }
+
     /// Registers a run of a server that started at the given time.
     pub fn register_run(&self, service: &str, server: &backend::Backend, born: u64) {
         let mut spec = server_entry(service, server.address, "v1", "ready");
@@ -437,13 +448,16 @@
         let limits = self
             .memory_mb
             .map_or_else(String::new, |memory_mb| format!("limits:\n  memory_mb: {memory_mb}\n"));
+        let evacuation = self
+            .evacuation_ms
+            .map_or_else(String::new, |bound_ms| format!("  evacuation_ms: {bound_ms}\n"));
         let (ratio, allowance) = self.retry_allowance.map_or((0.9, 52), |extra| (0.0, extra));
         format!(
             "node_name: host-{index}\nzone: dc-1\nregion: r\nip: {ip}\nheartbeat_ms: 1200\n\
              listen:\n  frontend: {ip}:{CALLER_PORT}\n  ready: {ip}:{READINESS_PORT}\n  registry: {ip}:{REGISTRY_PORT}\n\
              internal_ports:\n  - {FIRST_INTERNAL_PORT}\n  - {LAST_INTERNAL_PORT}\n\
              bounds:\n  contact_ms: 3000\n  config_apply_ms: 2000\n  drain_ms: 2000\n  grace_s: {grace_s}\n  \
-             retry_budget_ratio: {ratio}\n  budget_window_s: 10\n  retry_allowance: {allowance}\n\
+             retry_budget_ratio: {ratio}\n  budget_window_s: 10\n  retry_allowance: {allowance}\n{evacuation}\
              platform:\n  address: {store}\n{limits}"
         )
     }
