Report the number of evacuated data centres as a metric

Whether a host knows of an evacuation could be seen only in its log.

Adds the gauge toucanwall_evacuated_data_centres, set with each new view; the test of evacuations checks it on hosts that watch the store and on one behind a relay, during and after an evacuation.

--- a/crates/daemon/tests/evacuations.rs
+++ b/crates/daemon/tests/evacuations.rs
@@ -138,6 +138,15 @@
         assert_eq!(self.arrivals_after(bound), 0, "{}", self.fleet.logs());
     }
 
+    /// Checks the number of evacuated data centres that the hosts report.
+    async fn check_metric(&self, hosts: &[usize], data_centres: usize) {
+        let line = format!("toucanwall_evacuated_data_centres {data_centres}\n");
+        for host in hosts {
+            let metrics = self.fleet.metrics(*host).await;
+            assert!(metrics.contains(&line), "{metrics}");
+        }
+    }
+
     /// Checks that the remaining server answers what the hosts are sent.
     async fn check_service(&self, hosts: &[usize]) {
         for host in hosts {
@@ -163,10 +172,12 @@
     scenario.wait_for_use(&hosts).await;
     scenario.check_evacuation(&hosts).await;
     scenario.check_service(&hosts).await;
+    scenario.check_metric(&hosts, 1).await;
     scenario.end_evacuation();
     let ended_at = time::Instant::now();
     scenario.wait_for_use(&hosts).await;
     assert!(ended_at.elapsed() < BOUND, "{:?}\n{}", ended_at.elapsed(), scenario.fleet.logs());
+    scenario.check_metric(&hosts, 0).await;
 }
 
 /// Guards against a retry at the only server that has not failed, which is evacuated.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -703,6 +703,8 @@
         let previous = Arc::clone(&self.inputs.views.borrow());
         view_log::log_changes(&previous, &view);
         self.inputs.metrics.set_hosts_listed(view.callable_hosts().count());
+        let evacuated = self.local_state.evacuated_count();
+        self.inputs.metrics.set_evacuated_data_centres(evacuated);
         self.inputs.limits.set_hosts(
             view.serving_hosts().map(|host| host.name.clone()),
             !view.silent_hosts.is_empty(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,6 +45,7 @@
     first_byte_seconds: histogram::Histogram,
     configuration_version: gauge::Gauge,
     hosts_listed: gauge::Gauge,
+    evacuated_data_centres: gauge::Gauge,
     memory_used: gauge::Gauge,
     memory_evictions: gauge::Gauge,
     dropped_log_lines: gauge::Gauge,
@@ -110,6 +111,9 @@
         let hosts_listed = gauge::Gauge::default();
         let help = "hosts whose addresses callers are given";
         registry.register("hosts_listed", help, hosts_listed.clone());
+        let evacuated_data_centres = gauge::Gauge::default();
+        let help = "data centres that the host knows to be evacuated";
+        registry.register("evacuated_data_centres", help, evacuated_data_centres.clone());
         let memory_used = gauge::Gauge::default();
         registry.register(
             "buffered_bytes",
@@ -146,6 +150,7 @@
             first_byte_seconds,
             configuration_version,
             hosts_listed,
+            evacuated_data_centres,
             memory_used,
             memory_evictions,
             dropped_log_lines,
@@ -295,6 +300,11 @@
         self.hosts_listed.set(i64::try_from(hosts).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of data centres that the host knows to be evacuated.
+    pub fn set_evacuated_data_centres(&self, data_centres: usize) {
+        self.evacuated_data_centres.set(i64::try_from(data_centres).unwrap_or(i64::MAX));
+    }
+
     /// Encodes the metrics as text.
     ///
     /// # Errors
--- a/crates/routing/src/evacuations.rs
+++ b/crates/routing/src/evacuations.rs
@@ -19,6 +19,12 @@
         self.evacuated.contains(data_centre)
     }
 
+    /// Number of evacuated data centres.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.evacuated.len()
+    }
+
     /// Adds a data centre; returns whether it is new.
     pub fn put(&mut self, data_centre: name::DataCentre) -> bool {
         self.missing.remove(&data_centre);
--- a/crates/routing/src/local_state.rs
+++ b/crates/routing/src/local_state.rs
@@ -422,6 +422,12 @@
         self.evacuations.remove(data_centre)
     }
 
+    /// Number of data centres that are known to be evacuated.
+    #[must_use]
+    pub fn evacuated_count(&self) -> usize {
+        self.evacuations.count()
+    }
+
     /// Replaces the list of evacuations. A restored store may lack some that operators write again.
     pub fn replace_evacuations(
         &mut self,
