Confine requests and the directory to allowed regions

allowed_regions of routes and tenants was not read, so that their requests ran in any region and the directory named hosts of all.

Decodes allowed_regions and the settings' zones, and leaves servers outside the regions that the route and the organisation allow out of the list that first attempts, retries, escalations and resumptions choose from. A request whose service has ready servers, but none in an allowed region, is rejected at once as not run. The directory leaves out hosts outside the caller's region and the regions that the routes of the host name allow. Absent fields change nothing.

--- a/crates/daemon/tests/gateway_fleet/mod.rs
+++ b/crates/daemon/tests/gateway_fleet/mod.rs
@@ -48,6 +48,10 @@
     /// Bound for evacuations in the settings of hosts that are started from now on; `None` if the
     /// deployment has no evacuations.
     pub evacuation_ms: Option<u64>,
+    /// Data centre and region of hosts that are started from now on.
+    pub location: (&'static str, &'static str),
+    /// Data centres with their regions in the settings of hosts that are started from now on.
+    pub zones: &'static [(&'static str, &'static str)],
     /// Address of the store in the settings of hosts that are started from now on.
     pub store_address: net::SocketAddr,
     temp_dir: tempfile::TempDir,
@@ -188,6 +192,8 @@
             grace_s: GRACE_S,
             memory_mb: None,
             evacuation_ms: None,
+            location: ("dc-1", "r"),
+            zones: &[],
             store_address: store.address,
             store,
             hosts: Vec::new(),
@@ -296,6 +302,12 @@
         self.get(address, "/resolution?name=site.example&region=r&zone=dc-1").await
     }
 
+    /// Asks a host for addresses for a host name, as a caller in the given region.
+    pub async fn resolve_from(&self, index: usize, name: &str, region: &str) -> Option<Response> {
+        let address = self.address(index, REGISTRY_PORT);
+        self.get(address, &format!("/resolution?name={name}&region={region}&zone=dc-1")).await
+    }
+
     pub async fn metrics(&self, index: usize) -> String {
         let address = self.address(index, LAST_INTERNAL_PORT);
         self.get(address, "/metrics").await.map(|response| response.body).unwrap_or_default()
@@ -451,14 +463,17 @@
         let evacuation = self
             .evacuation_ms
             .map_or_else(String::new, |bound_ms| format!("  evacuation_ms: {bound_ms}\n"));
+        let (data_centre, region) = self.location;
+        let zones = self.zones.iter().map(|(zone, region)| format!("  {zone}: {region}\n"));
+        let zones: String = std::iter::once("zones:\n".to_owned()).chain(zones).collect();
         let (ratio, allowance) = self.retry_allowance.map_or((0.9, 52), |extra| (0.0, extra));
         format!(
-            "node_name: host-{index}\nzone: dc-1\nregion: r\nip: {ip}\nheartbeat_ms: 1200\n\
+            "node_name: host-{index}\nzone: {data_centre}\nregion: {region}\nip: {ip}\nheartbeat_ms: 1200\n\
              listen:\n  frontend: {ip}:{CALLER_PORT}\n  ready: {ip}:{READINESS_PORT}\n  registry: {ip}:{REGISTRY_PORT}\n\
              internal_ports:\n  - {FIRST_INTERNAL_PORT}\n  - {LAST_INTERNAL_PORT}\n\
              bounds:\n  contact_ms: 3000\n  config_apply_ms: 2000\n  drain_ms: 2000\n  grace_s: {grace_s}\n  \
              retry_budget_ratio: {ratio}\n  budget_window_s: 10\n  retry_allowance: {allowance}\n{evacuation}\
-             platform:\n  address: {store}\n{limits}"
+             platform:\n  address: {store}\n{limits}{zones}"
         )
     }
 }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -10,6 +10,7 @@
 use rand::seq::SliceRandom as _;
 use toucanwall_listener::NoDelayAcceptor;
 use toucanwall_platform::discovery;
+use toucanwall_routing::name;
 
 use crate::logging;
 use crate::state;
@@ -66,12 +67,20 @@
     web::Data(state): web::Data<&Arc<state::GatewayState>>,
 ) -> poem::Response {
     let view = state.view();
+    let host_name = query.name.to_ascii_lowercase();
+    let configuration = view.configuration.as_ref();
+    let allowed = configuration.map(|known| known.allowed_regions_of(&host_name));
+    // Callers may always use hosts in their own region; these pass requests to allowed ones.
+    let is_allowed = |region: &name::Region| {
+        region.as_str() == query.region
+            || allowed.as_ref().is_none_or(|allowed| allowed.includes(Some(region)))
+    };
     let mut candidates: Vec<_> = view
         .callable_hosts()
-        .filter(|host| host.name != state.settings.host)
+        .filter(|host| host.name != state.settings.host && is_allowed(&host.region))
         .map(|host| (host.data_centre.as_str() != query.data_centre, host.caller_address))
         .collect();
-    if is_ready(state) {
+    if is_ready(state) && is_allowed(&state.settings.region) {
         let is_remote = state.settings.data_centre.as_str() != query.data_centre;
         candidates.push((is_remote, state.settings.caller_address));
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -456,6 +456,10 @@
 
     fn give_up_without_server(&self, execution: execution::Status, now_ms: u64) -> NextStep {
         let bad_gateway = hyper::StatusCode::BAD_GATEWAY;
+        if self.is_confined_to_other_regions() {
+            let reason = "no server in an allowed region";
+            return Self::give_up(execution, bad_gateway, Some(RETRY_LATER_MS), reason);
+        }
         let has_ready_servers = !self.state.view().ready_servers_of(&self.service).is_empty();
         let (servers, _) = self.servers_on_side(self.rollout_request(), now_ms);
         let reason = match self.state.earliest_acceptance(&servers) {
@@ -544,7 +548,7 @@
         request: canary::Request,
         now_ms: u64,
     ) -> (Vec<Arc<server::BackendServer>>, Option<canary::Side>) {
-        let servers = self.state.staying_servers(&self.service);
+        let servers = self.staying_servers();
         self.state.rollouts.eligible_servers(&self.service, &servers, request, now_ms)
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod peers;
 mod pool;
 mod reachability;
+mod regions;
 mod relay;
 mod relay_session;
 mod rollouts;
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::name;
+use crate::regions;
 
 /// Routes indexed by host name, then by path prefix.
 type Routes = collections::BTreeMap<Arc<str>, collections::BTreeMap<Arc<str>, Arc<Route>>>;
@@ -88,6 +89,8 @@
     pub is_public: bool,
     /// Models that may answer, smallest first; empty if the caller names the model.
     pub models: Vec<name::ModelName>,
+    /// Regions that the requests are confined to.
+    pub allowed_regions: regions::AllowedRegions,
 }
 
 /// Whether a request may be sent to another server after a failure.
@@ -132,6 +135,8 @@
     pub name: name::OrganisationName,
     /// Priority of its requests, if it has one; takes precedence over the route's priority.
     pub priority: Option<u32>,
+    /// Regions that its requests are confined to, in addition to the route's restriction.
+    pub allowed_regions: regions::AllowedRegions,
 }
 
 /// Size and time limits for requests.
@@ -164,6 +169,15 @@
         prefix_ends.rev().find_map(|end| routes.get(&path[..end]))
     }
 
+    /// The regions that any route of a host name allows; unrestricted if no route names regions.
+    #[must_use]
+    pub fn allowed_regions_of(&self, host: &str) -> regions::AllowedRegions {
+        let routes = self.routes.get(host).into_iter().flat_map(collections::BTreeMap::values);
+        routes.fold(regions::AllowedRegions::default(), |joined, route| {
+            joined.joined(&route.allowed_regions)
+        })
+    }
+
     /// Looks up a service by name.
     #[must_use]
     pub fn service(&self, name: &name::ServiceName) -> Option<&Arc<Service>> {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod name;
 pub mod number;
 pub mod position;
+pub mod regions;
 pub mod rollout;
 pub mod rollout_log;
 pub mod server;
--- a/crates/routing/src/settings.rs
+++ b/crates/routing/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings that a host's process reads at start-up.
 
+use std::collections;
 use std::net;
 
 use crate::name;
@@ -13,6 +14,8 @@
     pub data_centre: name::DataCentre,
     /// Region of the data centre.
     pub region: name::Region,
+    /// Regions of the data centres, the host's own among them.
+    pub regions: collections::BTreeMap<name::DataCentre, name::Region>,
     /// Address that callers send requests to.
     pub caller_address: net::SocketAddr,
     /// Address of the platform's readiness check.
