Leave out repeats that cannot end before the deadline

Retries, escalations and resumptions were sent as long as some attempt time was left, so under overload they took places from requests that could still be answered (a third of arrivals at servers are repeats, two thirds of which run badly).

A repeat is now sent only if its first byte and, for streams, the rest at the median pace of the latest streams of its route and model are expected before the deadline; one without a forecast is sent. First attempts are decided as before. The check comes before the retry budget, so an omitted repeat takes nothing from it. An escalation is checked before the first answer is discarded.

--- a/crates/gateway/src/dispatch_parameters.rs
+++ b/crates/gateway/src/dispatch_parameters.rs
@@ -53,6 +53,8 @@
             confidence_percent: head.confidence_percent,
             elapsed_ms: self.state.clock.now_ms().saturating_sub(self.received_at_ms),
             expected_ms: self.state.expected_first_byte_ms(&forecast_key, units),
+            expected_rest_ms: self.expected_rest_ms(largest_model),
+            remaining_ms: self.remaining_ms(),
             target_latency_ms: self.route.target_latency_ms,
         };
         escalation::escalation_target(model_answer)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -370,21 +370,18 @@
         }
     }
 
-    /// Sends the request to the chosen server if the retry budget, the deadline and the server's limit
-    /// allow it.
+    /// Sends the request to the chosen server if admission control, the retry budget and the server's
+    /// limit allow it.
     fn assign(&self, chosen: Assignment, execution: execution::Status, now_ms: u64) -> NextStep {
         let bad_gateway = hyper::StatusCode::BAD_GATEWAY;
+        if let Some(rejection) = self.reject_attempt(chosen.units, now_ms) {
+            let (reason, retry_after_ms) = (rejection.reason, rejection.retry_after_ms);
+            return Self::give_up(execution, bad_gateway, Some(retry_after_ms), reason);
+        }
         if self.attempts > 0 && !self.state.try_take_retry(&self.service) {
             let reason = "retry budget used up";
             return Self::give_up(execution, bad_gateway, Some(RETRY_LATER_MS), reason);
         }
-        let forecast_key = (self.service.clone(), self.model.clone());
-        let expected_ms = self.state.expected_first_byte_ms(&forecast_key, chosen.units);
-        let decision = admission::decide(expected_ms, self.deadline_at_ms.saturating_sub(now_ms));
-        if let (admission::Decision::Refuse { retry_after_ms }, 0) = (decision, self.attempts) {
-            let reason = "cannot be answered in time";
-            return Self::give_up(execution, bad_gateway, Some(retry_after_ms), reason);
-        }
         let permit = match self.state.limits.take_permit(&chosen.server, None, now_ms) {
             limits::Permission::Unlimited => None,
             limits::Permission::Permitted(permit) => Some(permit),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`View`](toucanwall_routing::View); the traffic thread routes requests by the latest one. All
 //! decisions are made by the pure modules of `toucanwall-policy` and `toucanwall-routing`.
 
+mod admission;
 mod attempt;
 mod caller_stream;
 mod change_feed;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
 
 use toucanwall_policy::forecast;
 use toucanwall_policy::placement;
+use toucanwall_policy::repetition;
 use toucanwall_policy::retry_quota;
 use toucanwall_policy::server_notices;
 use toucanwall_policy::shutdown;
@@ -59,6 +60,7 @@
     retry_quotas: Mutex<collections::BTreeMap<name::ServiceName, retry_quota::RetryQuota>>,
     forecasts: Mutex<collections::BTreeMap<ForecastKey, forecast::Forecast>>,
     durations: Mutex<collections::BTreeMap<name::RouteName, shutdown::Durations>>,
+    stream_paces: Mutex<collections::BTreeMap<PaceKey, repetition::StreamPace>>,
 }
 
 /// What the state of a host is made from; the control thread shares most of it.
@@ -85,6 +87,9 @@
 /// Key of a latency forecast: a service and the model that it runs.
 pub type ForecastKey = (name::ServiceName, Option<name::ModelName>);
 
+/// Key of the pace of streams: a route and the model that answers.
+pub type PaceKey = (name::RouteName, Option<name::ModelName>);
+
 /// Current [`Stage`] of a host, which only advances, and when the host ends.
 #[derive(Debug, Default)]
 pub struct Lifecycle {
@@ -128,6 +133,7 @@
             retry_quotas: Mutex::new(collections::BTreeMap::new()),
             forecasts: Mutex::new(collections::BTreeMap::new()),
             durations: Mutex::default(),
+            stream_paces: Mutex::default(),
         }
     }
 
@@ -249,6 +255,20 @@
         forecasts.get(key).and_then(|forecast| forecast.predict_ms(units, self.clock.now_ms()))
     }
 
+    /// Records a complete stream of `events` events that arrived within `duration_ms`.
+    pub fn record_stream_pace(&self, key: PaceKey, events: u64, duration_ms: u64) {
+        let mut paces = self.stream_paces.lock().unwrap_or_else(PoisonError::into_inner);
+        paces.entry(key).or_default().record(events, duration_ms, self.clock.now_ms());
+    }
+
+    /// Returns the expected time from the next event of a stream to its last one, in milliseconds, if
+    /// `received` events have arrived.
+    #[must_use]
+    pub fn expected_rest_ms(&self, key: &PaceKey, received: u64) -> Option<u64> {
+        let paces = self.stream_paces.lock().unwrap_or_else(PoisonError::into_inner);
+        paces.get(key).and_then(|pace| pace.rest_ms(received, self.clock.now_ms()))
+    }
+
     fn with_retry_quota<F, T>(&self, service: &name::ServiceName, operation: F) -> T
     where
         F: FnOnce(&mut retry_quota::RetryQuota) -> T,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -37,6 +37,8 @@
     /// When an event arrived that is more than a comment, or the stream was resumed.
     last_progress_at: tokio::time::Instant,
     longest_pause: time::Duration,
+    /// When the first event was received, unless the stream has been resumed since.
+    begun_at: Option<tokio::time::Instant>,
 }
 
 /// Response of the server from which the events are read.
@@ -131,6 +133,7 @@
             last_event_at: tokio::time::Instant::now(),
             last_progress_at: tokio::time::Instant::now(),
             longest_pause: time::Duration::ZERO,
+            begun_at: Some(tokio::time::Instant::now()),
         })
     }
 
@@ -169,6 +172,7 @@
                     return Some(Ok(bytes));
                 }
                 Step::End => {
+                    self.record_pace();
                     self.log_end();
                     return None;
                 }
@@ -188,6 +192,17 @@
         self.exchange.as_ref()
     }
 
+    /// Records the pace of a complete stream that one server has sent from the first event on.
+    fn record_pace(&self) {
+        let (Some(exchange), Some(begun_at)) = (&self.exchange, self.begun_at) else { return };
+        if exchange.head.last_event_id.is_none() {
+            let duration = self.last_progress_at.saturating_duration_since(begun_at);
+            let duration_ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+            let events = self.splitter.events();
+            exchange.state.record_stream_pace(exchange.pace_key(), events, duration_ms);
+        }
+    }
+
     fn log_end(&self) {
         if let Some(exchange) = &self.exchange {
             let longest_pause_ms =
@@ -257,6 +272,7 @@
                 let attempt::OpenResponse { head, body, connection, in_flight, .. } = opened;
                 self.splitter = sse::EventSplitter::resume_after(exchange.last_event_id);
                 self.last_progress_at = tokio::time::Instant::now();
+                self.begun_at = None;
                 let share = in_flight.open_share();
                 let upstream = Upstream { head, body, connection, in_flight, share };
                 self.source = Source::Upstream(Box::new(upstream));
--- a/crates/policy/src/escalation.rs
+++ b/crates/policy/src/escalation.rs
@@ -3,7 +3,7 @@
 //! Many requests are easy, and the smallest model reads prompts several times as fast at a fraction
 //! of the cost, so it is asked first. If its confidence in the answer is low, the largest model is
 //! asked and the first answer is discarded. A request is escalated only if the pool is not
-//! overloaded and the largest model can still answer in time, so that the expensive escalations do
+//! overloaded and the largest model can still answer and end in time, so that the expensive escalations do
 //! not make all requests late.
 
 use std::collections;
@@ -11,6 +11,8 @@
 use toucanwall_routing::name;
 use toucanwall_routing::number;
 
+use crate::repetition;
+
 /// Confidence below which an answer is discarded, in percent: the model's estimate is rough, and a
 /// wrong answer is worth little.
 const MIN_CONFIDENCE_PERCENT: u8 = 50;
@@ -37,6 +39,11 @@
     pub elapsed_ms: u64,
     /// Expected time to the first byte with the largest model, in milliseconds, if known.
     pub expected_ms: Option<u64>,
+    /// Expected time from the first byte to the end of the stream with the largest model, in
+    /// milliseconds, if known.
+    pub expected_rest_ms: Option<u64>,
+    /// Time until the deadline, in milliseconds.
+    pub remaining_ms: u64,
     /// The route's target time to the first byte, in milliseconds.
     pub target_latency_ms: u64,
 }
@@ -57,7 +64,10 @@
     let limit_ms = answer.target_latency_ms * MAX_LATENCY_PERCENT / 100;
     let has_time =
         !is_overloaded && answer.elapsed_ms + answer.expected_ms.unwrap_or(0) <= limit_ms;
-    (largest != answer.model && is_unconfident && has_time).then(|| largest.clone())
+    let repeat =
+        repetition::decide(answer.expected_ms, answer.expected_rest_ms, answer.remaining_ms);
+    let can_end = repeat == repetition::Decision::Send;
+    (largest != answer.model && is_unconfident && has_time && can_end).then(|| largest.clone())
 }
 
 /// Cost of a token with a model relative to the smallest model, in percent.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod placement;
 pub mod poison;
 pub mod relay;
+pub mod repetition;
 pub mod retry;
 pub mod retry_quota;
 pub mod sequential_test;
--- a/crates/policy/tests/pressure.rs
+++ b/crates/policy/tests/pressure.rs
@@ -86,6 +86,8 @@
             confidence_percent: Some(rng.random_range(0..100)),
             elapsed_ms: small_first_byte_ms - now_ms,
             expected_ms,
+            expected_rest_ms: None,
+            remaining_ms: u64::MAX,
             target_latency_ms: TARGET_LATENCY_MS,
         };
         let first_byte_ms = if escalates(answer) {
