Keep to the lints in the code for cold servers

Clippy found two functions of more than 100 lines, similar names and a match on a boolean. The metrics of cold servers get a struct of their own.

--- a/crates/daemon/tests/cold_servers.rs
+++ b/crates/daemon/tests/cold_servers.rs
@@ -13,7 +13,7 @@
 /// Time for which servers are cold, in milliseconds: longer than any test.
 const COLD_MS: u64 = 120_000;
 /// Time after which a host that has just registered sends its whole share.
-const SETTLING_TIME: time::Duration = time::Duration::from_millis(5_000);
+const SETTLING_TIME: time::Duration = time::Duration::from_secs(5);
 /// Requests a second that a cold server takes.
 const PER_S: u64 = 4;
 /// Requests that it bears in any second.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -227,17 +227,14 @@
             }
         };
         exchange.state.metrics.record_connection(connection.is_new());
-        let cold_permission = match check_still_allowed(exchange, &in_flight.server, permit) {
-            Ok(permission) => permission,
-            Err(error) => {
-                in_flight.record_outcome(placement::Outcome::Cancelled);
-                return Err((error, not_written));
-            }
-        };
-        let mut request = exchange.request_to(&in_flight.server).map_err(|error| {
-            let error = AttemptError::Broken(error.to_string());
+        let checked = check_still_allowed(exchange, &in_flight.server, permit);
+        let cold_permission = checked.map_err(|error| {
+            in_flight.record_outcome(placement::Outcome::Cancelled);
             (error, not_written)
         })?;
+        let built = exchange.request_to(&in_flight.server);
+        let mut request =
+            built.map_err(|error| (AttemptError::Broken(error.to_string()), not_written))?;
         leaving::watch_interim_responses(
             &mut request,
             &exchange.state,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,9 +35,7 @@
     pause_requests: CounterFamily,
     limit_notices: CounterFamily,
     limited_sends: ServiceCounterFamily,
-    cold_servers: ServiceGaugeFamily,
-    cold_sends: ServiceCounterFamily,
-    cold_holds: ServiceCounterFamily,
+    cold: ColdMetrics,
     retries: ServiceCounterFamily,
     retry_window: ServiceGaugeFamily,
     connections: CounterFamily,
@@ -53,6 +51,28 @@
     dropped_log_lines: gauge::Gauge,
 }
 
+/// Metrics of cold servers.
+#[derive(Debug, Default)]
+struct ColdMetrics {
+    servers: ServiceGaugeFamily,
+    sends: ServiceCounterFamily,
+    holds: ServiceCounterFamily,
+}
+
+impl ColdMetrics {
+    fn register(registry: &mut registry::Registry) -> Self {
+        let metrics = Self::default();
+        let help = "servers that are cold, as known to this host";
+        registry.register("cold_servers", help, metrics.servers.clone());
+        let help = "requests sent to cold servers";
+        registry.register("sends_to_cold_servers", help, metrics.sends.clone());
+        let help =
+            "choices of a server in which cold servers were left out, by whether another was left";
+        registry.register("held_back_from_cold_servers", help, metrics.holds.clone());
+        metrics
+    }
+}
+
 impl Metrics {
     /// Registers all metrics, with no samples.
     #[must_use]
@@ -82,16 +102,7 @@
         let limited_sends = ServiceCounterFamily::default();
         let help = "requests sent to servers while they named a limit";
         registry.register("sends_to_limited_servers", help, limited_sends.clone());
-        let cold_servers = ServiceGaugeFamily::default();
-        let help = "servers that are cold, as known to this host";
-        registry.register("cold_servers", help, cold_servers.clone());
-        let cold_sends = ServiceCounterFamily::default();
-        let help = "requests sent to cold servers";
-        registry.register("sends_to_cold_servers", help, cold_sends.clone());
-        let cold_holds = ServiceCounterFamily::default();
-        let help =
-            "choices of a server in which cold servers were held back, by whether another was left";
-        registry.register("held_back_from_cold_servers", help, cold_holds.clone());
+        let cold = ColdMetrics::register(&mut registry);
         let retries = ServiceCounterFamily::default();
         let help = "retries by whether the budget of their service allowed them";
         registry.register("retries", help, retries.clone());
@@ -149,9 +160,7 @@
             pause_requests,
             limit_notices,
             limited_sends,
-            cold_servers,
-            cold_sends,
-            cold_holds,
+            cold,
             retries,
             retry_window,
             connections,
@@ -256,12 +265,12 @@
     /// Sets the number of servers of a service that are cold.
     pub fn set_cold_servers(&self, service: &name::ServiceName, servers: usize) {
         let servers = i64::try_from(servers).unwrap_or(i64::MAX);
-        self.cold_servers.get_or_create(&vec![service_label(service)]).set(servers);
+        self.cold.servers.get_or_create(&vec![service_label(service)]).set(servers);
     }
 
     /// Records that a request was sent to a cold server of a service.
     pub fn record_cold_send(&self, service: &name::ServiceName) {
-        self.cold_sends.get_or_create(&vec![service_label(service)]).inc();
+        self.cold.sends.get_or_create(&vec![service_label(service)]).inc();
     }
 
     /// Records that cold servers of a service were held back from a request, and whether another server
@@ -269,7 +278,7 @@
     pub fn record_cold_hold(&self, service: &name::ServiceName, has_other: bool) {
         let outcome = if has_other { "other_server" } else { "no_server" };
         let labels = vec![service_label(service), ("outcome", outcome.to_owned())];
-        self.cold_holds.get_or_create(&labels).inc();
+        self.cold.holds.get_or_create(&labels).inc();
     }
 
     /// Records whether a retry was allowed, and how much of the budget is used.
--- a/crates/policy/tests/cold_simulation/mod.rs
+++ b/crates/policy/tests/cold_simulation/mod.rs
@@ -202,10 +202,8 @@
         let registered = Arc::new(self.registered.clone());
         for host in self.hosts.iter_mut().filter(|host| host.is_alive && host.is_connected) {
             // Hosts that have just started have listed the entries.
-            let delay_ms = match host.view.is_empty() {
-                true => 0,
-                false => self.rng.random_range(0..VIEW_DELAY_MAX_MS),
-            };
+            let delay_ms =
+                if host.view.is_empty() { 0 } else { self.rng.random_range(0..VIEW_DELAY_MAX_MS) };
             // Changes arrive in order, the latest with all before.
             host.pending.retain(|(at_ms, news)| {
                 !matches!(news, News::Hosts(_)) || *at_ms < now_ms + delay_ms
@@ -274,7 +272,7 @@
             host.is_alive = false;
             let name = host.name.clone();
             self.registrations.push((self.now_ms + REMOVAL_MS, name.clone(), false));
-            // Some start again before their entry is removed, as under the same name.
+            // It starts again under the same name once its entry is gone.
             let back_ms = self.now_ms + self.rng.random_range(1_000..8_000);
             self.registrations.push((back_ms.max(self.now_ms + REMOVAL_MS + 1), name, true));
         }
