Test that servers are cold after an evacuation

Hosts may hear of the end of an evacuation before the entries show that its servers are cold; they count as new runs then.

--- a/crates/daemon/tests/cold_servers.rs
+++ b/crates/daemon/tests/cold_servers.rs
@@ -157,3 +157,30 @@
     let arrived = server.arrivals().len() - before;
     assert!((1..=2 * BOUND).contains(&arrived), "{arrived}\n{}", fleet.log(0));
 }
+
+/// Guards against a burst when hosts hear of the end of an evacuation before the entries of the servers
+/// show that they are cold.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_are_cold_after_an_evacuation() {
+    let server = backend::Backend::start("s-1", Behaviour::Respond).await;
+    let fleet = start(true, "desk", None, &server).await;
+    fleet.register_cold("desk", &server, 0);
+    tokio::time::sleep(SETTLING_TIME).await;
+    let status = async || fleet.send(0, "GET", "/read/x", &[]).await.map(|it| it.status);
+    let all_are_served = async || {
+        let answers = call(&fleet, "GET", "/read/x", time::Duration::from_millis(500)).await;
+        answers.iter().all(|(status, _)| *status == 200)
+    };
+    assert!(all_are_served().await, "{}", fleet.log(0));
+    fleet.store.put("evacuations", "dc-1", &serde_json::json!({}));
+    fleet.wait_for("the evacuation", async || status().await == Some(503)).await;
+    let before = server.arrivals().len();
+    fleet.store.delete("evacuations", "dc-1");
+    call(&fleet, "GET", "/read/x", time::Duration::from_secs(3)).await;
+    let arrived = server.arrivals().len() - before;
+    println!("{arrived} arrived");
+    assert!((1..=3 * BOUND).contains(&arrived), "{arrived}\n{}", fleet.log(0));
+    fleet.register_cold("desk", &server, 0);
+    fleet.wait_for("the entry that says that the server is warm", all_are_served).await;
+}
--- a/crates/daemon/tests/gateway_fleet/mod.rs
+++ b/crates/daemon/tests/gateway_fleet/mod.rs
@@ -45,7 +45,8 @@
     /// Memory in the settings of hosts that are started from now on, in megabytes; `None` if they do
     /// not state it.
     pub memory_mb: Option<u64>,
-    /// Overshoot and tolerance of cold servers in the settings of hosts that are started from now on.
+    /// Overshoot and tolerance of cold servers in the settings of hosts that are started from now on; such
+    /// hosts also follow evacuations.
     pub cold_bounds: Option<(f64, u64)>,
     /// Address of the store in the settings of hosts that are started from now on.
     pub store_address: net::SocketAddr,
@@ -448,7 +449,7 @@
             .memory_mb
             .map_or_else(String::new, |memory_mb| format!("limits:\n  memory_mb: {memory_mb}\n"));
         let cold_bounds = self.cold_bounds.map_or_else(String::new, |(overshoot, tolerance)| {
-            format!("  cold_overshoot: {overshoot}\n  cold_tolerance: {tolerance}\n")
+            format!("  cold_overshoot: {overshoot}\n  cold_tolerance: {tolerance}\n  evacuation_ms: 5000\n")
         });
         let (ratio, allowance) = self.retry_allowance.map_or((0.9, 52), |extra| (0.0, extra));
         format!(
