Let first attempts compete for an overloaded service

Under overload, all requests joined the queue until it was as long as the deadline, so most answers were late and took as much engine time as answers in time.

A first attempt is now admitted only if its expected time to the first byte is below 40 to 70 percent of what is left of the target latency, the more the more urgent it is among the latest requests. Kinds and organisations of which less than half as large a part was admitted as of all rank as the most urgent. Nothing is rejected while less than 70 percent of the places are taken at the servers that reported within a second, or without a forecast.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod balance;
 pub mod canary;
 pub mod cascade;
+pub mod competition;
 pub mod connections;
 pub mod crash_causes;
 pub mod crash_history;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -16,6 +16,10 @@
 /// Age from which a server's load report is ignored, in milliseconds: typical requests take about
 /// this long, so those that ran then have ended.
 const REPORT_MAX_AGE_MS: u64 = 2_000;
+/// Age up to which a report shows how many places are taken, in milliseconds. With 2 s, and
+/// no rejections below 60 percent of the places, three percent of those in the simulation came while
+/// less than half of the places were taken.
+const FRESH_REPORT_AGE_MS: u64 = 1_000;
 /// Consecutive failures after which a server is ejected.
 const FAILURES_BEFORE_EJECTION: u32 = 3;
 /// Duration of a server's first ejection, in milliseconds; doubles with each further one. A crashed
@@ -268,6 +272,15 @@
         (load.in_flight.saturating_add(others - waiting), waiting)
     }
 
+    /// Expected numbers of running and of waiting requests at a server, if it has reported its load
+    /// within the last second.
+    #[must_use]
+    pub fn reported_load(&self, id: &name::ServerId, now_ms: u64) -> Option<(u32, u32)> {
+        let report = self.loads.get(id)?.report?;
+        let is_fresh = now_ms < report.received_ms + FRESH_REPORT_AGE_MS;
+        is_fresh.then(|| self.expected_load(id, now_ms))
+    }
+
     fn cost(
         &self,
         request: Request<'_>,
