--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod canary;
 pub mod cascade;
 pub mod cold_starts;
+pub mod competition;
 pub mod connections;
 pub mod crash_causes;
 pub mod crash_history;
