Learn the speeds of servers and place requests by the time at each server

All servers of a service counted as equally fast, so that slow machines had the longest queues, and hosts that read the same reports picked the same server.

A host compares the low intervals between events of a server's streams with the median of its service, scales the work ahead by it and by the fourth figure of a report of the last 500 ms, adds a cost for expected output at slower servers, and chooses among servers of close cost at random by their free capacity. Where servers do not differ, the choice is the one before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::pauses;
 use crate::pool;
 use crate::rollouts;
+use crate::server_loads;
 use crate::state;
 
 /// Time after the first byte of a response in which a request counts as just started, in
@@ -534,6 +535,9 @@
             let answer =
                 canary::Answer { first_byte_ms, event_interval_ms, ..canary::Answer::default() };
             self.record_rollout_sample(answer);
+            let now_ms = self.state.clock.now_ms();
+            let intervals_ms = &self.event_intervals_ms;
+            self.state.placement().record_speed(&self.server, intervals_ms, now_ms);
         }
     }
 
@@ -649,8 +653,7 @@
 
     fn record_load(&self, head: &response::Head) {
         if let Some(load) = head.load {
-            let now_ms = self.state.clock.now_ms();
-            self.state.placement().record_load(&self.server.id, load.running, load.waiting, now_ms);
+            server_loads::record_load(&self.state, &self.server, &self.request, load);
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod relay_session;
 mod rollouts;
 mod run;
+mod server_loads;
 mod sse;
 mod state;
 mod store_event;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -3,19 +3,28 @@
 //! Many hosts read the same stale load reports and would flood whichever server looked idle, so a
 //! host adds the requests that it has sent since the report. Long prompts are expensive where their
 //! parts are not cached, so a request goes to the server that rendezvous hashing selects for its
-//! shared parts, unless that server is busier than reading the parts again would cost.
+//! shared parts, unless that server is busier than reading the parts again would cost. Where servers
+//! differ in speed, the cost is the time that the work takes there, and servers of close cost share
+//! the requests.
 
 use std::collections;
 use std::sync::Arc;
 
-use rand::RngExt as _;
 use toucanwall_routing::generation;
 use toucanwall_routing::name;
 use toucanwall_routing::server;
 
+use crate::even_choice;
+use crate::server_speed;
+
 /// Age from which a server's load report is ignored, in milliseconds: typical requests take about
 /// this long, so those that ran then have ended.
 const REPORT_MAX_AGE_MS: u64 = 2_000;
+/// Age from which a report no longer says how long work takes at the server, in milliseconds: it
+/// changes many times a second.
+const WORK_TIME_MAX_AGE_MS: u64 = 500;
+/// Range of the reported times of work that are believed, in percent of the usual time.
+const REPORTED_PERCENT: (u32, u32) = (25, 400);
 /// Consecutive failures after which a server is ejected.
 const FAILURES_BEFORE_EJECTION: u32 = 3;
 /// Duration of a server's first ejection, in milliseconds; doubles with each further one. A crashed
@@ -30,6 +39,9 @@
 const RUNNING_REQUEST_COST_TOKENS: u64 = 150;
 /// Cost of one waiting request for the next one, in prompt tokens, if its size is not known.
 const WAITING_REQUEST_COST_TOKENS: u64 = 3_000;
+/// Cost of an expected output token at a server that takes twice as long as the fastest, in prompt
+/// tokens.
+const OUTPUT_TOKEN_COST_TOKENS: u64 = 20;
 /// Cost of a server in another data centre, in prompt tokens; breaks ties between equal servers.
 const REMOTE_DATA_CENTRE_COST_TOKENS: u64 = 100;
 /// Time for which an engine is assumed to cache a prompt part that it has read, in milliseconds.
@@ -78,7 +90,8 @@
     Server {
         /// The chosen server.
         server: Arc<server::BackendServer>,
-        /// Estimated work ahead of the first byte, in prompt tokens of the smallest model.
+        /// Estimated time to the first byte, in prompt tokens of the smallest model that a server of
+        /// usual speed reads in it.
         units: u64,
     },
     /// Every suitable server has reached this host's limit of concurrent requests.
@@ -91,6 +104,7 @@
 #[derive(Debug, Default)]
 pub struct Placement {
     loads: collections::BTreeMap<name::ServerId, Load>,
+    speeds: server_speed::ServerSpeeds,
 }
 
 #[derive(Debug, Default)]
@@ -122,6 +136,8 @@
     running: u32,
     waiting: u32,
     own_in_flight: u32,
+    /// How long work takes at the server, in percent of the usual time.
+    work_time_percent: Option<u32>,
     received_ms: u64,
 }
 
@@ -151,14 +167,36 @@
         }
         let healthy = self.without_ejected(allowed, now_ms);
         let owner = request.generation.and_then(|generation| owner(generation, &healthy));
-        let costs = healthy
+        let with_room: Vec<_> = healthy
             .into_iter()
             .filter(|server| self.has_room(&server.id, request.in_flight_max))
-            .map(|server| (self.cost(request, server, owner == Some(&server.id), now_ms), server));
-        // Ties are broken at random, so that hosts do not all choose the same server.
-        let randomised = costs.map(|(cost, server)| ((cost, rng.random::<u32>()), server));
-        randomised.min_by_key(|(cost, _)| *cost).map_or(Choice::Full, |((units, _), server)| {
-            Choice::Server { server: Arc::clone(server), units }
+            .map(|server| (server, self.work_time_percent(server, now_ms)))
+            .collect();
+        let shortest = with_room.iter().map(|(_, percent)| *percent).min();
+        let longest = with_room.iter().map(|(_, percent)| *percent).max();
+        let candidates: Vec<_> = with_room
+            .into_iter()
+            .map(|(server, percent)| {
+                let is_owner = owner == Some(&server.id);
+                let work = self.work_ahead(request, server, is_owner, now_ms);
+                let units = scale(work, percent).saturating_add(request.distance_cost(server));
+                let slower_percent = u64::from(percent - shortest.unwrap_or(percent));
+                even_choice::Candidate {
+                    server,
+                    units,
+                    cost: units.saturating_add(request.output_cost(slower_percent)),
+                    free_capacity: self.free_capacity(server, percent, now_ms),
+                }
+            })
+            .collect();
+        let chosen = if shortest == longest {
+            even_choice::cheapest(&candidates, rng)
+        } else {
+            even_choice::proportional(&candidates, rng)
+        };
+        chosen.map_or(Choice::Full, |it| Choice::Server {
+            server: Arc::clone(it.server),
+            units: it.units,
         })
     }
 
@@ -228,10 +266,34 @@
     }
 
     /// Records the load that a server reported.
-    pub fn record_load(&mut self, id: &name::ServerId, running: u32, waiting: u32, now_ms: u64) {
+    ///
+    /// `work_time_percent` is how long work takes there at this moment, in percent of the usual time, if
+    /// the server says so.
+    pub fn record_load(
+        &mut self,
+        id: &name::ServerId,
+        running: u32,
+        waiting: u32,
+        work_time_percent: Option<u32>,
+        now_ms: u64,
+    ) {
         let load = self.loads.entry(id.clone()).or_default();
         let own_in_flight = load.in_flight;
-        load.report = Some(Report { running, waiting, own_in_flight, received_ms: now_ms });
+        let received_ms = now_ms;
+        load.report =
+            Some(Report { running, waiting, own_in_flight, work_time_percent, received_ms });
+    }
+
+    /// Records the times between the events of a response, in milliseconds and in ascending order, which
+    /// show the speed of its server.
+    pub fn record_speed(
+        &mut self,
+        server: &server::BackendServer,
+        sorted_intervals_ms: &[u64],
+        now_ms: u64,
+    ) {
+        let reported_percent = self.reported_percent(&server.id, now_ms);
+        self.speeds.record(server, sorted_intervals_ms, reported_percent, now_ms);
     }
 
     /// Forgets servers that are no longer known and have no requests in flight.
@@ -239,6 +301,7 @@
     where
         F: Fn(&name::ServerId) -> bool,
     {
+        self.speeds.retain(&is_known);
         self.loads.retain(|id, load| load.in_flight > 0 || is_known(id));
     }
 
@@ -268,7 +331,38 @@
         (load.in_flight.saturating_add(others - waiting), waiting)
     }
 
-    fn cost(
+    /// Time that work takes at a server, in percent of the usual time in its service.
+    #[must_use]
+    pub fn work_time_percent(&self, server: &server::BackendServer, now_ms: u64) -> u32 {
+        let reported_percent = self.reported_percent(&server.id, now_ms);
+        self.speeds.work_time_percent(server) * reported_percent / server_speed::USUAL_PERCENT
+    }
+
+    /// Time that work takes at a server compared with its own usual time, in percent, as it has
+    /// reported recently.
+    fn reported_percent(&self, id: &name::ServerId, now_ms: u64) -> u32 {
+        let report = self.loads.get(id).and_then(|load| load.report);
+        let recent = report.filter(|it| now_ms < it.received_ms + WORK_TIME_MAX_AGE_MS);
+        let percent = recent.and_then(|it| it.work_time_percent);
+        percent.map_or(server_speed::USUAL_PERCENT, |percent| {
+            percent.clamp(REPORTED_PERCENT.0, REPORTED_PERCENT.1)
+        })
+    }
+
+    /// Free slots of a server, each counted by the work that it does in the usual time, in percent.
+    fn free_capacity(
+        &self,
+        server: &server::BackendServer,
+        work_time_percent: u32,
+        now_ms: u64,
+    ) -> u64 {
+        let (running, waiting) = self.expected_load(&server.id, now_ms);
+        let free_slots = server.slots.saturating_sub(running.saturating_add(waiting));
+        u64::from(free_slots) * 10_000 / u64::from(work_time_percent.max(1))
+    }
+
+    /// Work until a request's first byte, in prompt tokens of the smallest model.
+    fn work_ahead(
         &self,
         request: Request<'_>,
         server: &server::BackendServer,
@@ -276,20 +370,16 @@
         now_ms: u64,
     ) -> u64 {
         let (running, waiting) = self.expected_load(&server.id, now_ms);
-        let distance_cost =
-            u64::from(server.data_centre != *request.data_centre) * REMOTE_DATA_CENTRE_COST_TOKENS;
         if request.generation.is_none() {
             // At a server of a plain service, a request costs less the more slots the server has.
             let load_cost = (u64::from(running) + u64::from(waiting)) * WAITING_REQUEST_COST_TOKENS;
-            return load_cost / u64::from(server.slots.max(1)) + distance_cost;
+            return load_cost / u64::from(server.slots.max(1));
         }
         let pending = self.loads.get(&server.id).map_or(0, |load| load.pending_prompt_units);
         let uncached = self.uncached_tokens(request, &server.id, is_owner, now_ms);
         let load_cost = u64::from(running) * RUNNING_REQUEST_COST_TOKENS
             + u64::from(waiting) * WAITING_REQUEST_COST_TOKENS;
-        pending
-            .saturating_add(request.scale_to_smallest_model(uncached))
-            .saturating_add(load_cost + distance_cost)
+        pending.saturating_add(request.scale_to_smallest_model(uncached)).saturating_add(load_cost)
     }
 
     /// Number of prompt tokens that a server has to read because they are not cached; the owner of
@@ -336,6 +426,19 @@
         self.scale_to_smallest_model(self.prompt_tokens())
     }
 
+    fn distance_cost(&self, server: &server::BackendServer) -> u64 {
+        u64::from(server.data_centre != *self.data_centre) * REMOTE_DATA_CENTRE_COST_TOKENS
+    }
+
+    /// Cost of generating the expected output at a server that takes longer than the fastest.
+    fn output_cost(&self, slower_percent: u64) -> u64 {
+        let tokens = self.generation.map_or(0, |generation| {
+            generation.output_hint_tokens.unwrap_or(generation.output_max_tokens)
+        });
+        let cost = tokens.saturating_mul(OUTPUT_TOKEN_COST_TOKENS);
+        cost.saturating_mul(slower_percent) / u64::from(server_speed::USUAL_PERCENT)
+    }
+
     fn scale_to_smallest_model(&self, tokens: u64) -> u64 {
         tokens.saturating_mul(self.relative_cost_percent) / 100
     }
@@ -345,6 +448,11 @@
     }
 }
 
+/// Time that work of a server of usual speed takes at a server.
+fn scale(units: u64, work_time_percent: u32) -> u64 {
+    units.saturating_mul(u64::from(work_time_percent)) / u64::from(server_speed::USUAL_PERCENT)
+}
+
 /// The server that rendezvous hashing selects for the last shared part of a prompt.
 fn owner<'a>(
     generation: &generation::GenerationRequest,
--- a/crates/policy/tests/pressure.rs
+++ b/crates/policy/tests/pressure.rs
@@ -330,7 +330,7 @@
     let servers = servers(2);
     let generation = generation_request(1, 2);
     let mut placement = placement::Placement::new();
-    placement.record_load(&servers[0].id, u32::MAX, u32::MAX, 0);
+    placement.record_load(&servers[0].id, u32::MAX, u32::MAX, None, 0);
     for seed in 0..20 {
         let chosen = choose(&placement, &generation, &servers, seed);
         assert_eq!(chosen.map(|it| it.id.clone()), Some(servers[1].id.clone()));
