--- a/crates/policy/src/server_speed.rs
+++ b/crates/policy/src/server_speed.rs
@@ -32,6 +32,11 @@
 const RISE: f64 = 0.02;
 /// Measurements of a server that are needed to compare it.
 const MIN_MEASUREMENTS: u32 = 5;
+/// Measurements of a server that are needed to compare it where most servers show no difference: with
+/// fewer, one in ten equal servers seems to differ in the simulation.
+const SURE_MEASUREMENTS: u32 = 20;
+/// Part of the compared servers, in percent, that differ in a service of uneven servers.
+const UNEVEN_SERVICE_PERCENT: usize = 20;
 /// Servers of a service that are needed for a median.
 const MIN_SERVERS: usize = 3;
 /// Time between two comparisons of the servers of a service, in milliseconds; a comparison sorts
@@ -121,6 +126,14 @@
             let relative = median.and_then(|it| server.interval_ms().map(|own| own / it));
             server.learned_percent = relative.map(learned_percent);
         }
+        let differs = |it: &&Server| it.learned_percent.is_some_and(|it| it != USUAL_PERCENT);
+        let differing = self.servers.values().filter(differs).count();
+        if differing * 100 < sorted.len() * UNEVEN_SERVICE_PERCENT {
+            let unsure = |it: &&mut Server| it.measurements < SURE_MEASUREMENTS;
+            for server in self.servers.values_mut().filter(unsure) {
+                server.learned_percent = None;
+            }
+        }
     }
 }
 
--- a/crates/policy/tests/server_speed.rs
+++ b/crates/policy/tests/server_speed.rs
@@ -93,6 +93,24 @@
     assert_eq!(speeds.work_time_percent(&servers[2]), server_speed::USUAL_PERCENT);
 }
 
+/// Guards against single servers of an even service that are avoided after a few measurements, and
+/// against a slow one that is never found.
+#[rstest]
+#[case::few_measurements(1, 100)]
+#[case::many_measurements(3, 200)]
+fn single_slow_server_is_found_after_many_measurements(#[case] rounds: u64, #[case] expected: u32) {
+    let servers = servers(20);
+    let mut speeds = server_speed::ServerSpeeds::new();
+    for round in 0..rounds {
+        learn(&mut speeds, &servers[0], 64, round * 20_000);
+        for server in &servers[1..] {
+            learn(&mut speeds, server, 32, round * 20_000 + 10_000);
+        }
+    }
+    let learned = speeds.work_time_percent(&servers[0]);
+    assert!(learned.abs_diff(expected) <= 3, "learned {learned}, expected {expected}");
+}
+
 /// Guards against a momentary disturbance that is taken for the lasting speed of the machine.
 #[rstest]
 fn reported_disturbance_is_no_part_of_the_learned_speed() {
