--- a/crates/policy/tests/server_speed.rs
+++ b/crates/policy/tests/server_speed.rs
@@ -107,6 +107,7 @@
             learn(&mut speeds, server, 32, round * 20_000 + 10_000);
         }
     }
+    learn(&mut speeds, &servers[1], 32, rounds * 20_000);
     let learned = speeds.work_time_percent(&servers[0]);
     assert!(learned.abs_diff(expected) <= 3, "learned {learned}, expected {expected}");
 }
