Bound what a host holds for callers and servers that read slowly

Cause: a caller that did not read made the kernel hold up to 3.2 MB for it (1.8 GB for 300 callers of 4 MB streams), and its server's response stayed unread for 3.7 to 4.8 s. Nothing ended its stream, not even the deadline, since the HTTP library does not poll a body that it cannot write. What was kept of answers and request bodies counted, but did not give way.

Change: send buffers of callers' and servers' connections are bounded. All that a caller has not read counts towards an account of its connection, and the largest account or request body gives way first. A connection whose request was answered before it was read waits 2 s for the rest, where it waited without limit.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -414,12 +414,6 @@
         }
     }
 
-    /// Counts bytes that are passed on towards the memory for bytes of other processes.
-    #[must_use]
-    pub fn count_bytes(&self, bytes: bytes::Bytes) -> bytes::Bytes {
-        self.state.memory_budget.count(bytes)
-    }
-
     /// Opens a share of the memory for bytes of other processes.
     #[must_use]
     pub fn open_share(&self) -> memory_budget::Share {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,6 +23,7 @@
 use crate::execution;
 use crate::ingress;
 use crate::limits;
+use crate::memory_budget;
 use crate::patience;
 use crate::pool;
 use crate::sse;
@@ -52,6 +53,8 @@
     pub parts: hyper::http::request::Parts,
     /// Body of the request.
     pub body: bytes::Bytes,
+    /// What is held for the caller.
+    pub account: memory_budget::Account,
     /// Route that matches the request.
     pub route: Arc<configuration::Route>,
     /// Organisation to which the API key belongs.
@@ -586,7 +589,7 @@
     ) -> (AttemptOutcome, Option<hyper::Response<bytes::Bytes>>) {
         let attempt::OpenResponse { head, parts, body, connection, mut in_flight } = opened;
         in_flight.record_first_byte();
-        let reading = self.state.memory_budget.read(body);
+        let reading = self.state.memory_budget.read(body, &self.account);
         let deadline = tokio::time::Instant::now() + self.response_timeout();
         let bytes = match patience::until(deadline, reading).await {
             Ok(Ok(bytes)) => bytes,
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -2,6 +2,8 @@
 
 use std::net;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic;
 use std::time;
 
@@ -20,6 +22,9 @@
 use crate::exchange;
 use crate::execution;
 use crate::memory_budget;
+use crate::pool;
+use crate::read_ahead;
+use crate::request_body;
 use crate::state;
 use crate::stream;
 
@@ -31,12 +36,11 @@
 /// Timeout for reading a request head and for idle connections in milliseconds, before a
 /// configuration is known.
 const IDLE_TIMEOUT_MS: u64 = 15_000;
-/// Time for which the rest of a body is read and discarded after an early response, in
-/// milliseconds.
-const LINGER_MS: u64 = 2_000;
 /// Time for which a stopping host waits for requests on connections that it has accepted, in
 /// milliseconds.
 pub const UNREAD_MS: u64 = 500;
+/// Number of connections that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1_024;
 /// Retry-after time while this host has not loaded the state of the deployment, in milliseconds.
 const RETRY_NOT_READY_MS: u64 = 500;
 /// Retry-after time for a caller that should use another host, in milliseconds.
@@ -51,6 +55,15 @@
     listener: tokio::net::TcpListener,
 }
 
+/// What all requests on a connection share.
+#[derive(Debug)]
+struct Caller {
+    account: memory_budget::Account,
+    reset_switch: caller_stream::ResetSwitch,
+    /// Id of the latest request.
+    request: Mutex<Option<Arc<str>>>,
+}
+
 /// Guard that counts a request as open until it is dropped.
 #[derive(Debug)]
 struct OpenRequest(Arc<state::GatewayState>);
@@ -61,10 +74,13 @@
 
 /// Response to a request that is not admitted or not run.
 #[derive(Debug, Clone, Copy)]
-struct Rejection {
-    status: hyper::StatusCode,
-    reason: &'static str,
-    retry_after_ms: Option<u64>,
+pub struct Rejection {
+    /// Status of the response.
+    pub status: hyper::StatusCode,
+    /// Why, as in the body of the response.
+    pub reason: &'static str,
+    /// Time after which the caller may try again, in milliseconds.
+    pub retry_after_ms: Option<u64>,
 }
 
 /// Sends a caller to another host because this one shuts down.
@@ -74,16 +90,28 @@
     retry_after_ms: Some(RETRY_OTHER_HOST_MS),
 };
 
+/// Sends a caller to another host because a body does not fit into the memory beside those of others.
+pub const NO_MEMORY: Rejection = Rejection {
+    status: hyper::StatusCode::SERVICE_UNAVAILABLE,
+    reason: "no memory",
+    retry_after_ms: Some(RETRY_OTHER_HOST_MS),
+};
+
 impl Ingress {
     /// Binds the listening socket.
     ///
     /// # Errors
     /// The address is in use or does not belong to this machine.
-    pub async fn bind(
+    pub fn bind(
         state: Arc<state::GatewayState>,
         address: net::SocketAddr,
     ) -> std::io::Result<Self> {
-        let listener = tokio::net::TcpListener::bind(address).await?;
+        let socket = pool::new_socket(address)?;
+        socket.set_reuseaddr(true)?;
+        // Accepted connections inherit it.
+        socket.set_send_buffer_size(caller_stream::SEND_BUFFER_BYTES)?;
+        socket.bind(address)?;
+        let listener = socket.listen(LISTEN_BACKLOG)?;
         Ok(Self { state, listener })
     }
 
@@ -120,6 +148,23 @@
     }
 }
 
+impl Caller {
+    /// Records that the connection is closed because of what the caller has not read.
+    fn record_given_up(
+        &self,
+        state: &state::GatewayState,
+        reason: &'static str,
+        held_bytes: usize,
+    ) {
+        let request = self.request.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        log::info!(
+            target: "toucanwall", request = request.as_deref(), why = reason, held_bytes = held_bytes;
+            "caller given up"
+        );
+        state.metrics.record_caller_given_up(reason);
+    }
+}
+
 impl OpenRequest {
     fn new(state: &Arc<state::GatewayState>) -> Self {
         state.open_requests.fetch_add(1, atomic::Ordering::Relaxed);
@@ -169,11 +214,17 @@
     let idle_timeout_ms = limits.map_or(IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
     let header_max_bytes =
         limits.map_or(HEADER_MAX_BYTES, |limits| limits.header_max_bytes.max(HEADER_MAX_BYTES));
-    let reset_switch = caller_stream::ResetSwitch::default();
-    let stream = caller_stream::CallerStream::new(stream, reset_switch.clone());
+    let caller = Arc::new(Caller {
+        account: state.memory_budget.open_account(),
+        reset_switch: caller_stream::ResetSwitch::default(),
+        request: Mutex::default(),
+    });
+    let stream = caller_stream::CallerStream::new(stream, caller.reset_switch.clone());
+    let stalled = stream.stalled();
+    let (service_state, service_caller) = (Arc::clone(&state), Arc::clone(&caller));
     let service = hyper::service::service_fn(move |request| {
-        let (state, reset_switch) = (Arc::clone(&state), reset_switch.clone());
-        async move { Ok::<_, std::convert::Infallible>(serve(state, request, reset_switch).await) }
+        let (state, caller) = (Arc::clone(&service_state), Arc::clone(&service_caller));
+        async move { Ok::<_, std::convert::Infallible>(serve(state, request, caller).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder
@@ -182,46 +233,58 @@
         .max_buf_size(header_max_bytes);
     let connection = builder.serve_connection(hyper_util::rt::TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let event = tokio::select! {
-        ended = connection.as_mut() => Err(ended),
-        waited = closing.wait_for(|is_closing| *is_closing) => Ok(waited.is_ok()),
-    };
-    let ended = if let Err(ended) = event {
-        ended
-    } else {
+    let serving = async {
+        tokio::select! {
+            ended = connection.as_mut() => return ended,
+            _ = closing.wait_for(|is_closing| *is_closing) => {}
+        }
         // A request may be on its way; its response closes the connection.
         let unread = time::Duration::from_millis(UNREAD_MS);
         match tokio::time::timeout(unread, connection.as_mut()).await {
             Ok(ended) => ended,
             Err(_elapsed) => {
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                connection.as_mut().await
             }
         }
     };
-    if let Err(error) = ended {
-        log::debug!(target: "toucanwall", "connection from caller ended with an error: {error}");
+    // Returning drops the connection and whatever is held for it.
+    tokio::select! {
+        ended = serving => match ended {
+            Err(_) if stalled.is_set() => {
+                caller.record_given_up(&state, "not reading", caller.account.held_bytes());
+            }
+            Err(error) => {
+                log::debug!(target: "toucanwall", "connection from caller ended with an error: {error}");
+            }
+            Ok(()) => {}
+        },
+        held_bytes = caller.account.evicted() => {
+            caller.reset_switch.set();
+            caller.record_given_up(&state, "no memory", held_bytes);
+        }
     }
 }
 
 async fn serve(
     state: Arc<state::GatewayState>,
     request: hyper::Request<hyper::body::Incoming>,
-    reset_switch: caller_stream::ResetSwitch,
+    caller: Arc<Caller>,
 ) -> hyper::Response<Body> {
     let open_request = OpenRequest::new(&state);
     // Callers with chunks miss the last one. A reset would take events from them that are on the way.
-    let reset_switch = (request.version() == hyper::Version::HTTP_10).then_some(reset_switch);
+    let reset_switch =
+        (request.version() == hyper::Version::HTTP_10).then(|| caller.reset_switch.clone());
     let received_at_ms = state.clock.now_ms();
     let (parts, body) = request.into_parts();
     let limits = state.view().configuration.as_ref().map(|configuration| configuration.limits());
     let body_max_bytes = limits.map_or(BODY_MAX_BYTES, |limits| limits.body_max_bytes);
     let read = tokio::select! {
-        read = read_body(&state, body, body_max_bytes) => read,
+        read = request_body::read(&state, body, body_max_bytes) => read,
         () = state.lifecycle.ended(state.clock) => Err(STOPPING),
     };
-    let body = match read {
-        Ok(body) => body,
+    let (body, body_eviction) = match read {
+        Ok(read) => read,
         Err(rejection) => {
             let mut response = reject(&state, "unread", rejection);
             set_connection_close(&mut response);
@@ -238,9 +301,11 @@
         }
     };
     let attempt_id = Arc::clone(&head.attempt_id);
+    *caller.request.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(&attempt_id));
     let view = state.view();
-    let mut response = match admit(&state, &view, head, parts, body, received_at_ms) {
-        Ok(exchange) => respond(exchange, open_request, received_at_ms, reset_switch).await,
+    let account = caller.account.clone();
+    let mut response = match admit(&state, &view, head, parts, body, account, received_at_ms) {
+        Ok(exchange) => respond(exchange, open_request, body_eviction, reset_switch).await,
         Err(rejection) => reject(&state, &attempt_id, rejection),
     };
     if state.lifecycle.stage() > state::Stage::Serving {
@@ -255,6 +320,7 @@
     head: request::Head,
     parts: hyper::http::request::Parts,
     body: bytes::Bytes,
+    account: memory_budget::Account,
     received_at_ms: u64,
 ) -> Result<exchange::Exchange, Rejection> {
     let unavailable = hyper::StatusCode::SERVICE_UNAVAILABLE;
@@ -312,6 +378,7 @@
         head,
         parts,
         body,
+        account,
     })
 }
 
@@ -339,9 +406,11 @@
 async fn respond(
     exchange: exchange::Exchange,
     open_request: OpenRequest,
-    received_at_ms: u64,
+    body_eviction: memory_budget::EvictionSignal,
     reset_switch: Option<caller_stream::ResetSwitch>,
 ) -> hyper::Response<Body> {
+    let received_at_ms = exchange.received_at_ms;
+    let account = exchange.account.clone();
     let state = Arc::clone(&exchange.state);
     let attempt_id = Arc::clone(&exchange.head.attempt_id);
     let route = exchange.route.name.clone();
@@ -351,7 +420,8 @@
         outcome = tokio::time::timeout_at(deadline, exchange.run()) => outcome.unwrap_or(
             exchange::Response::Failed(hyper::StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
         ),
-        () = state.lifecycle.ended(state.clock) => give_up_at_end(&send_record),
+        () = state.lifecycle.ended(state.clock) => give_up(&send_record, STOPPING, "host stops"),
+        () = body_eviction.evicted() => give_up(&send_record, NO_MEMORY, NO_MEMORY.reason),
     };
     let took_ms = state.clock.now_ms().saturating_sub(received_at_ms);
     if matches!(outcome, exchange::Response::Complete(_) | exchange::Response::Failed(..)) {
@@ -373,7 +443,9 @@
                 first_event_ms = took_ms; "stream begun"
             );
             state.metrics.record_response(stream.head().status.as_u16(), took_ms);
-            stream_response(*stream, open_request, received_at_ms, deadline, reset_switch)
+            let inputs =
+                read_ahead::Inputs { state, account, body_eviction, received_at_ms, deadline };
+            stream_response(*stream, open_request, inputs, reset_switch)
         }
         exchange::Response::Refused(refusal, reason) => {
             let (status, retry_after_ms) = (refusal.status, refusal.retry_after_ms);
@@ -391,111 +463,45 @@
     }
 }
 
-/// Ends a request that is open when the host ends.
-fn give_up_at_end(send_record: &execution::SendRecord) -> exchange::Response {
-    match send_record.refuse_unsent(STOPPING.status, STOPPING.retry_after_ms) {
-        Some(refusal) => exchange::Response::Refused(refusal, STOPPING.reason),
-        None => exchange::Response::Failed(hyper::StatusCode::GATEWAY_TIMEOUT, "host stops"),
+/// Ends an open request; `reason` is given if it may have run.
+fn give_up(
+    send_record: &execution::SendRecord,
+    rejection: Rejection,
+    reason: &'static str,
+) -> exchange::Response {
+    match send_record.refuse_unsent(rejection.status, rejection.retry_after_ms) {
+        Some(refusal) => exchange::Response::Refused(refusal, rejection.reason),
+        None => exchange::Response::Failed(hyper::StatusCode::GATEWAY_TIMEOUT, reason),
     }
 }
 
 fn stream_response(
     stream: stream::EventStream,
     open_request: OpenRequest,
-    received_at_ms: u64,
-    deadline: tokio::time::Instant,
+    inputs: read_ahead::Inputs,
     reset_switch: Option<caller_stream::ResetSwitch>,
 ) -> hyper::Response<Body> {
     let mut response = hyper::Response::new(());
     *response.status_mut() = stream.head().status;
     *response.headers_mut() = response::encode(&stream.head().headers);
-    let frames = futures_util::stream::unfold(
-        Some((stream, open_request, reset_switch)),
-        move |state| async move {
-            let (mut stream, open_request, reset_switch) = state?;
-            let state = Arc::clone(&open_request.0);
-            let next = tokio::select! {
-                next = tokio::time::timeout_at(deadline, stream.next()) => {
-                    next.unwrap_or_else(|_elapsed| Some(Err(stream::StreamError::DEADLINE)))
-                }
-                () = state.lifecycle.ended(state.clock) => Some(Err(stream::StreamError::STOPPING)),
-            };
-            let Some(next) = next else {
-                record_stream_duration(&stream, &state, received_at_ms);
-                return None;
-            };
+    let attempt_id = stream.exchange().map(|exchange| Arc::clone(&exchange.head.attempt_id));
+    let events = read_ahead::ReadAhead::start(stream, inputs);
+    let frames = futures_util::stream::unfold(Some((events, open_request)), move |state| {
+        let (attempt_id, reset_switch) = (attempt_id.clone(), reset_switch.clone());
+        async move {
+            let (mut events, open_request) = state?;
+            let next = events.next().await?;
             if let Err(error) = &next {
-                let request = stream.exchange().map(|exchange| &*exchange.head.attempt_id);
-                log::warn!(target: "toucanwall", request = request, why = error.to_string(); "stream broken off");
+                log::warn!(target: "toucanwall", request = attempt_id.as_deref(), why = error.to_string(); "stream broken off");
                 if let Some(reset_switch) = reset_switch {
                     reset_switch.set();
                 }
                 return Some((next.map(hyper::body::Frame::data), None));
             }
-            Some((next.map(hyper::body::Frame::data), Some((stream, open_request, reset_switch))))
-        },
-    );
-    response.map(|()| http_body_util::StreamBody::new(frames).boxed_unsync())
-}
-
-fn record_stream_duration(
-    stream: &stream::EventStream,
-    state: &state::GatewayState,
-    received_at_ms: u64,
-) {
-    if let Some(exchange) = stream.exchange() {
-        let took_ms = state.clock.now_ms().saturating_sub(received_at_ms);
-        state.record_duration(&exchange.route.name, took_ms);
-    }
-}
-
-async fn read_body(
-    state: &state::GatewayState,
-    mut body: hyper::body::Incoming,
-    max_bytes: usize,
-) -> Result<bytes::Bytes, Rejection> {
-    use hyper::body::Body as _;
-
-    let declared_bytes = body.size_hint().lower();
-    let mut share = state.memory_budget.open_share();
-    let mut read = memory_budget::Blocks::default();
-    let is_too_large = |bytes: u64| bytes > u64::try_from(max_bytes).unwrap_or(u64::MAX);
-    let mut is_large = is_too_large(declared_bytes);
-    while !is_large {
-        match share.unless_evicted(body.frame()).await.map_err(no_memory)? {
-            None => return Ok(share.keep(read.into_vec())),
-            Some(Ok(frame)) => {
-                let data = frame.into_data().unwrap_or_default();
-                read.extend(&data);
-                is_large = read.len() > max_bytes;
-                share.resize(read.allocated_bytes()).map_err(no_memory)?;
-            }
-            Some(Err(_)) => {
-                let status = hyper::StatusCode::BAD_REQUEST;
-                return Err(Rejection { status, reason: "body cut off", retry_after_ms: None });
-            }
-        }
-    }
-    // Closing a socket with unread bytes sends a TCP reset, which can discard the response before
-    // the caller has read it.
-    tokio::spawn(async move {
-        let rest = async { while let Some(Ok(_)) = body.frame().await {} };
-        if tokio::time::timeout(time::Duration::from_millis(LINGER_MS), rest).await.is_err() {
-            log::debug!(target: "toucanwall", "timed out discarding an oversized request body");
+            Some((next.map(hyper::body::Frame::data), Some((events, open_request))))
         }
     });
-    let status = hyper::StatusCode::PAYLOAD_TOO_LARGE;
-    Err(Rejection { status, reason: "body too large", retry_after_ms: None })
-}
-
-/// Rejects a request whose body does not fit into the memory beside those of others.
-fn no_memory(exceeded: memory_budget::Exceeded) -> Rejection {
-    log::warn!(target: "toucanwall", why = exceeded.to_string(); "body of a request not read");
-    Rejection {
-        status: hyper::StatusCode::SERVICE_UNAVAILABLE,
-        reason: "no memory",
-        retry_after_ms: Some(RETRY_OTHER_HOST_MS),
-    }
+    response.map(|()| http_body_util::StreamBody::new(frames).boxed_unsync())
 }
 
 /// Chooses the service of a request by the weights of its route and a hash of its attempt ID.
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -1,8 +1,9 @@
 //! Limits the memory that bytes of other processes take up together.
 //!
 //! Whatever is kept of a body or an event counts from its first byte until it has been passed on. If
-//! all together would exceed the limit, the largest that is still being read is given up, so that the
-//! others go on.
+//! all together would exceed the limit, the largest is given up, so that the others go on: a body that
+//! is being read, the body of a request that its server does not read, or all that one caller has not
+//! read.
 
 use std::collections;
 use std::sync::Arc;
@@ -105,6 +106,27 @@
     _share: Share,
 }
 
+/// All that is held for one caller until it is written to the caller's connection; clones share it.
+#[derive(Debug, Clone)]
+pub struct Account(Arc<AccountState>);
+
+#[derive(Debug)]
+struct AccountState {
+    share: Mutex<Share>,
+    /// Notified when bytes have been written.
+    released: tokio::sync::Notify,
+}
+
+/// Bytes that count towards an account until they are dropped.
+struct HeldBytes {
+    bytes: bytes::Bytes,
+    account: Account,
+}
+
+/// Resolves once the bytes of a share have to be given up.
+#[derive(Debug, Clone)]
+pub struct EvictionSignal(Arc<Eviction>);
+
 impl MemoryBudget {
     /// Creates the budget of a host with this memory, if it is stated, in bytes.
     #[must_use]
@@ -130,26 +152,22 @@
         Share { ledger: Arc::clone(&self.ledger), id, bytes: 0, eviction: Arc::default() }
     }
 
-    /// Counts bytes that have to be passed on, even if others have to be given up for them.
+    /// Opens the account of a caller for which nothing is held yet.
     #[must_use]
-    pub fn count(&self, bytes: bytes::Bytes) -> bytes::Bytes {
-        if bytes.len() < EVICTABLE_BYTES {
-            return bytes;
-        }
-        let mut share = self.open_share();
-        let mut accounts = self.ledger.lock();
-        share.bytes = bytes.len();
-        accounts.used_bytes += share.bytes;
-        self.ledger.make_room(&mut accounts, None);
-        drop(accounts);
-        share.keep(bytes)
+    pub fn open_account(&self) -> Account {
+        let share = Mutex::new(self.open_share());
+        Account(Arc::new(AccountState { share, released: tokio::sync::Notify::new() }))
     }
 
-    /// Reads a body of a response to its end.
+    /// Reads a body of a response to its end. It counts towards the account of its caller from then on.
     ///
     /// # Errors
     /// [`ReadError`]; the rest of the body is not read.
-    pub async fn read(&self, mut body: hyper::body::Incoming) -> Result<bytes::Bytes, ReadError> {
+    pub async fn read(
+        &self,
+        mut body: hyper::body::Incoming,
+        account: &Account,
+    ) -> Result<bytes::Bytes, ReadError> {
         let mut share = self.open_share();
         let mut blocks = Blocks::default();
         while let Some(frame) = share.unless_evicted(body.frame()).await? {
@@ -160,7 +178,8 @@
             blocks.extend(&data);
             share.resize(blocks.allocated_bytes())?;
         }
-        Ok(share.keep(blocks.into_vec()))
+        drop(share);
+        Ok(account.hold(blocks.into_vec().into()))
     }
 
     /// Number of bytes in use.
@@ -227,13 +246,8 @@
     fn make_room(&self, accounts: &mut Accounts, for_share: Option<u64>) -> bool {
         while accounts.used_bytes > self.limit_bytes {
             let largest = accounts.largest().filter(|id| Some(*id) != for_share);
-            let Some(evicted) = largest.and_then(|id| accounts.evictable.remove(&id)) else {
-                return false;
-            };
-            // Its holder drops what it keeps when it runs next.
-            accounts.used_bytes -= evicted.bytes;
-            evicted.eviction.is_evicted.store(true, atomic::Ordering::Relaxed);
-            evicted.eviction.notify.notify_one();
+            let Some(id) = largest else { return false };
+            accounts.evict(id);
             self.evictions.fetch_add(1, atomic::Ordering::Relaxed);
         }
         true
@@ -266,6 +280,13 @@
         Err(Exceeded(bytes))
     }
 
+    /// Counts more bytes. The share itself is given up if it is the largest and they do not fit.
+    fn grow(&mut self, bytes: usize) {
+        if self.resize(self.bytes + bytes).is_err() {
+            self.ledger.lock().evict(self.id);
+        }
+    }
+
     /// Waits for `reading`, unless the reader has to give up what it keeps meanwhile.
     ///
     /// # Errors
@@ -282,14 +303,62 @@
     }
 
     /// Hands over bytes that have been read and are passed on. They count until they are no longer
-    /// used, and are not given up.
+    /// used. Whoever uses them has to drop them once the signal resolves.
     #[must_use]
-    pub fn keep<B>(self, bytes: B) -> bytes::Bytes
+    pub fn keep<B>(self, bytes: B) -> (bytes::Bytes, EvictionSignal)
     where
         B: Into<bytes::Bytes>,
     {
-        self.ledger.lock().evictable.remove(&self.id);
-        bytes::Bytes::from_owner(CountedBytes { bytes: bytes.into(), _share: self })
+        let signal = EvictionSignal(Arc::clone(&self.eviction));
+        (bytes::Bytes::from_owner(CountedBytes { bytes: bytes.into(), _share: self }), signal)
+    }
+}
+
+impl EvictionSignal {
+    /// Waits until the bytes have to be given up.
+    pub async fn evicted(&self) {
+        while !self.0.is_evicted.load(atomic::Ordering::Relaxed) {
+            self.0.notify.notified().await;
+        }
+        // Further waiters on the same signal.
+        self.0.notify.notify_one();
+    }
+}
+
+impl Account {
+    /// Counts bytes until they are dropped. If they make the account the largest while the memory is
+    /// exceeded, the account is given up.
+    #[must_use]
+    pub fn hold(&self, bytes: bytes::Bytes) -> bytes::Bytes {
+        if bytes.is_empty() {
+            return bytes;
+        }
+        self.share().grow(bytes.len());
+        bytes::Bytes::from_owner(HeldBytes { bytes, account: self.clone() })
+    }
+
+    /// Number of bytes that are held.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.share().bytes
+    }
+
+    /// Waits until less than `limit_bytes` are held.
+    pub async fn wait_for_room(&self, limit_bytes: usize) {
+        while self.held_bytes() >= limit_bytes {
+            self.0.released.notified().await;
+        }
+    }
+
+    /// Waits until the account has to be given up; returns the bytes that it held.
+    pub async fn evicted(&self) -> usize {
+        let signal = EvictionSignal(Arc::clone(&self.share().eviction));
+        signal.evicted().await;
+        self.held_bytes()
+    }
+
+    fn share(&self) -> MutexGuard<'_, Share> {
+        self.0.share.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -299,6 +368,15 @@
         let largest = self.evictable.iter().max_by_key(|(_, evictable)| evictable.bytes);
         largest.map(|(id, _)| *id)
     }
+
+    /// Tells the holder of a share to drop what it keeps, which it does when it runs next.
+    fn evict(&mut self, id: u64) {
+        if let Some(evicted) = self.evictable.remove(&id) {
+            self.used_bytes -= evicted.bytes;
+            evicted.eviction.is_evicted.store(true, atomic::Ordering::Relaxed);
+            evicted.eviction.notify.notify_one();
+        }
+    }
 }
 
 impl Drop for Share {
@@ -311,6 +389,25 @@
     }
 }
 
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        let mut share = self.account.share();
+        let left_bytes = share.bytes.saturating_sub(self.bytes.len());
+        // Fails if the account is given up, which counts for nothing any more.
+        if share.resize(left_bytes).is_err() {
+            share.bytes = left_bytes;
+        }
+        drop(share);
+        self.account.0.released.notify_one();
+    }
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl AsRef<[u8]> for CountedBytes {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -47,6 +47,7 @@
     hosts_listed: gauge::Gauge,
     memory_used: gauge::Gauge,
     memory_evictions: gauge::Gauge,
+    callers_given_up: CounterFamily,
     dropped_log_lines: gauge::Gauge,
 }
 
@@ -122,6 +123,9 @@
             "bodies and events that were given up because the memory for them was exceeded",
             memory_evictions.clone(),
         );
+        let callers_given_up = CounterFamily::default();
+        let help = "connections of callers that were closed because they did not read";
+        registry.register("callers_given_up", help, callers_given_up.clone());
         let dropped_log_lines = gauge::Gauge::default();
         let help = "log lines that found no room";
         registry.register("log_lines_dropped", help, dropped_log_lines.clone());
@@ -148,6 +152,7 @@
             hosts_listed,
             memory_used,
             memory_evictions,
+            callers_given_up,
             dropped_log_lines,
         }
     }
@@ -270,6 +275,11 @@
         self.memory_evictions.set(i64::try_from(evictions).unwrap_or(i64::MAX));
     }
 
+    /// Records that a caller's connection was closed because of what it did not read.
+    pub fn record_caller_given_up(&self, reason: &'static str) {
+        self.callers_given_up.get_or_create(&vec![("reason", reason)]).inc();
+    }
+
     /// Records that a waiting call for changes of a kind was lost.
     pub fn record_lost_watch(&self, kind: &'static str) {
         self.lost_watches.get_or_create(&vec![("kind", kind)]).inc();
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -25,6 +25,17 @@
 /// closing the connection is noticed only when the connection is used.
 const KEEP_ALIVE_MAX_MS: u64 = 10_000;
 
+/// Time for a server to read the rest of a request that it has answered already, in milliseconds. The
+/// connection, with the body, is closed after it.
+const REST_TIMEOUT_MS: u64 = 2_000;
+/// Size of the send buffer of a connection to a server in bytes, of which the kernel reserves the
+/// double. Without a limit, a server that does not read bodies takes up to 4 MB for each.
+const SEND_BUFFER_BYTES: u32 = 64 * 1024;
+
+/// Size of the receive buffer of a connection to a server in bytes, of which the kernel reserves the
+/// double: the most that it holds of a response that is left unread for a while.
+const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
+
 /// Time for a server to accept a connection that only tests whether it still runs, in milliseconds.
 const LIVENESS_TIMEOUT_MS: u64 = 100;
 /// Time for which a process that ends may still take connections, in milliseconds.
@@ -112,7 +123,8 @@
         let pool = Arc::clone(self);
         tokio::spawn(async move {
             // The connection becomes ready once the rest of the request has been sent.
-            if connection.sender.ready().await.is_ok() {
+            let rest = time::Duration::from_millis(REST_TIMEOUT_MS);
+            if matches!(tokio::time::timeout(rest, connection.sender.ready()).await, Ok(Ok(()))) {
                 pool.insert_idle(IdleConnection { connection, expires_at }, idle_max);
             }
         });
@@ -241,9 +253,23 @@
     }
 }
 
+/// Returns a socket for the kind of an address, so that its buffers can be set before it is used.
+///
+/// # Errors
+/// The operating system has no socket left.
+pub fn new_socket(address: net::SocketAddr) -> std::io::Result<tokio::net::TcpSocket> {
+    match address {
+        net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4(),
+        net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6(),
+    }
+}
+
 async fn open_connection(key: ServerKey) -> std::io::Result<Connection> {
     let timeout = time::Duration::from_millis(CONNECT_TIMEOUT_MS);
-    let stream = tokio::time::timeout(timeout, tokio::net::TcpStream::connect(key.0)).await??;
+    let socket = new_socket(key.0)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    let stream = tokio::time::timeout(timeout, socket.connect(key.0)).await??;
     stream.set_nodelay(true)?;
     let head_limit = head_limit::HeadLimit::default();
     head_limit.end();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -173,7 +173,6 @@
 ) -> Result<(), RunError> {
     let address = settings.caller_address;
     let ingress = ingress::Ingress::bind(Arc::clone(state), address)
-        .await
         .map_err(|error| RunError::Listen { purpose: "callers", address, error })?;
     tokio::spawn(ingress.accept(shutdown_receiver));
     for (purpose, kind, address) in [
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -88,6 +88,8 @@
     pub const DEADLINE: Self = Self("deadline exceeded");
     /// The host has shut down.
     pub const STOPPING: Self = Self("host stops");
+    /// The memory for bytes of other processes is exceeded.
+    pub const NO_MEMORY: Self = Self("no memory");
 }
 
 /// Returns whether a response is an event stream. An error is none, whatever its type.
@@ -172,16 +174,17 @@
                     self.log_end();
                     return None;
                 }
-                Step::Abort(reason) => {
-                    // An error discards what the connection has not written yet, so that the events
-                    // before it are written first.
-                    tokio::task::yield_now().await;
-                    return Some(Err(StreamError(reason)));
-                }
+                Step::Abort(reason) => return Some(Err(StreamError(reason))),
             }
         }
     }
 
+    /// Leaves a time in which the stream was not read out of its pauses: the server may have gone on.
+    pub fn discount(&mut self, unread: time::Duration) {
+        self.last_progress_at += unread;
+        self.last_event_at += unread;
+    }
+
     /// Returns the request, if one is attached.
     #[must_use]
     pub fn exchange(&self) -> Option<&exchange::Exchange> {
@@ -335,7 +338,6 @@
                 }
                 sse::Split::Complete(events) => {
                     self.record_events(splitter);
-                    let events = self.in_flight.count_bytes(events);
                     return Ok(match self.share.resize(splitter.buffered_bytes()) {
                         Ok(()) => UpstreamItem::Events(events),
                         Err(exceeded) => UpstreamItem::LastEvents(events, self.give_up(exceeded)),
