Ping all hosts while the store does not answer

With eight hosts or more, each watches six others and learns of other losses by the removal of the entry.

Hosts ping up to 64 others while the store is lost, and go on pinging silent ones until they answer or their entries are removed. Extends lost_hosts with 7, 8 and 12 hosts of which one or several are killed, with and without the store.

--- a/crates/daemon/tests/lost_hosts.rs
+++ b/crates/daemon/tests/lost_hosts.rs
@@ -2,6 +2,7 @@
 
 mod gateway_fleet;
 
+use std::collections;
 use std::time;
 
 use gateway_fleet::GatewayFleet;
@@ -14,6 +15,10 @@
 const LOST: usize = HOST_COUNT - 1;
 /// Time after which a silent host is out of contact, as in the `contact_ms` setting.
 const CONTACT_LIMIT: time::Duration = time::Duration::from_secs(3);
+/// Longest time for which a killed host may still be named: the `contact_ms` setting and three seconds.
+const NAMED_LIMIT: time::Duration = CONTACT_LIMIT.saturating_add(time::Duration::from_secs(3));
+/// Time for which answers are checked after that.
+const WATCHED: time::Duration = time::Duration::from_secs(2);
 
 async fn start_fleet() -> (GatewayFleet, backend::Backend) {
     let server = backend::Backend::start("s-1", backend::Behaviour::Respond).await;
@@ -133,3 +138,50 @@
         async || fleet.store.get("toucanwall-hosts", &format!("host-{LOST}")).is_some();
     fleet.wait_for("the host to register again", is_registered).await;
 }
+
+/// Guards against killed hosts that the directory names for long in fleets of which no host pings all
+/// others, and where those that would find a host lost are killed with it. The indices are of killed
+/// hosts.
+#[rstest]
+#[case::one_of_seven(7, &[3])]
+#[case::three_of_seven(7, &[0, 1, 2])]
+#[case::five_of_seven(7, &[0, 1, 2, 4, 6])]
+#[case::one_of_eight(8, &[3])]
+#[case::three_of_eight(8, &[0, 1, 2])]
+#[case::six_of_eight(8, &[0, 1, 2, 3, 5, 7])]
+#[case::half_of_twelve(12, &[0, 2, 4, 6, 8, 10])]
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_hosts_are_not_named_after_the_limit(
+    #[case] host_count: usize,
+    #[case] killed: &[usize],
+    #[values(store::Mode::Up, store::Mode::Unresponsive)] store_mode: store::Mode,
+) {
+    let server = backend::Backend::start("s-1", backend::Behaviour::Respond).await;
+    let mut fleet = GatewayFleet::start(host_count, &[("desk", &server)]).await;
+    let all: collections::BTreeSet<_> = (0..host_count).collect();
+    for index in 0..host_count {
+        let names_all = async || named(&fleet, index).await == all;
+        fleet.wait_for("all hosts to be named", names_all).await;
+    }
+    fleet.store.set_mode(store_mode);
+    for index in killed {
+        fleet.hosts[*index].child.kill().expect("the host runs");
+    }
+    let killed_at = time::Instant::now();
+    tokio::time::sleep(NAMED_LIMIT).await;
+    let living: collections::BTreeSet<_> =
+        all.into_iter().filter(|index| !killed.contains(index)).collect();
+    while killed_at.elapsed() < NAMED_LIMIT + WATCHED {
+        for index in &living {
+            assert_eq!(named(&fleet, *index).await, living, "host {index}\n{}", fleet.log(*index));
+        }
+    }
+}
+
+/// The hosts that a host names, by index.
+async fn named(fleet: &GatewayFleet, index: usize) -> collections::BTreeSet<usize> {
+    let body = fleet.resolve(index).await.map(|response| response.body).unwrap_or_default();
+    let addresses: collections::BTreeSet<_> = body.split('"').collect();
+    let is_named = |other: &usize| addresses.contains(&*fleet.caller_address(*other).to_string());
+    (0..fleet.hosts.len()).filter(is_named).collect()
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -230,7 +230,8 @@
                 () = limits.has_messages() => {}
                 () = tokio::time::sleep_until(limits_due) => {}
                 _ = ping_rounds.tick() => {
-                    self.peers.start_round(self.inputs.clock.now_ms());
+                    let is_store_lost = self.local_state.is_store_lost();
+                    self.peers.start_round(is_store_lost, self.inputs.clock.now_ms());
                     if self.update_silent_hosts() {
                         self.publish();
                     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -69,7 +69,8 @@
     }
 
     /// Starts a round of pings.
-    pub fn start_round(&mut self, now_ms: u64) {
+    pub fn start_round(&mut self, is_store_lost: bool, now_ms: u64) {
+        self.monitor.set_store_lost(is_store_lost);
         for host in self.monitor.start_round(now_ms) {
             self.socket.ping(&host);
         }
--- a/crates/policy/src/host_monitor.rs
+++ b/crates/policy/src/host_monitor.rs
@@ -4,7 +4,8 @@
 //! it for good. Each host therefore pings the hosts that follow it on a ring, so that every host is
 //! watched by several others at a cost that does not depend on their number. A host that stops
 //! answering is left out of address lists by those that watch it, and one of them removes its entry,
-//! by which all others learn of the loss.
+//! by which all others learn of the loss. While the store does not answer, no entry can be removed, and
+//! each host watches all others.
 
 use std::collections;
 use std::sync::Arc;
@@ -44,6 +45,8 @@
     ring: Vec<Arc<host::HostEntry>>,
     watched: collections::BTreeMap<name::HostName, Watched>,
     last_round_ms: Option<u64>,
+    /// Whether the store does not answer.
+    is_store_lost: bool,
 }
 
 /// A host that is or was watched.
@@ -77,6 +80,7 @@
             ring: Vec::new(),
             watched: collections::BTreeMap::new(),
             last_round_ms: None,
+            is_store_lost: false,
         }
     }
 
@@ -112,6 +116,12 @@
         });
     }
 
+    /// Sets whether the store does not answer. Until it does, hosts learn of a loss only by their own
+    /// pings.
+    pub fn set_store_lost(&mut self, is_store_lost: bool) {
+        self.is_store_lost = is_store_lost;
+    }
+
     /// Ends a round of pings and starts the next one; returns the hosts to ping.
     pub fn start_round(&mut self, now_ms: u64) -> Vec<Arc<host::HostEntry>> {
         let elapsed_ms = self.last_round_ms.map_or(0, |at_ms| now_ms.saturating_sub(at_ms));
@@ -186,16 +196,18 @@
     }
 
     /// The next hosts on the ring, until enough of them answer; more of them as long as it is not
-    /// clear whether some are lost.
+    /// clear whether some are lost. Silent ones further on are pinged until they answer or their entries
+    /// are removed, since they would be named again otherwise.
     fn hosts_to_ping(&self) -> Vec<Arc<host::HostEntry>> {
-        let mut wanted = WATCHED_HOSTS;
+        let mut wanted = if self.is_store_lost { MAX_PINGED_HOSTS } else { WATCHED_HOSTS };
         let mut answering = 0;
         let mut pinged = Vec::new();
         for host in self.ring.iter().take(MAX_PINGED_HOSTS) {
-            if answering >= wanted {
-                break;
+            let watched = self.watched.get(&host.name);
+            if answering >= wanted && !watched.is_some_and(Watched::is_silent) {
+                continue;
             }
-            match self.watched.get(&host.name) {
+            match watched {
                 Some(watched) if watched.is_silent() => {}
                 Some(watched) if watched.misses > 0 => wanted += PINGED_PER_SUSPECT,
                 Some(_) | None => answering += 1,
--- a/crates/policy/tests/host_monitor.rs
+++ b/crates/policy/tests/host_monitor.rs
@@ -213,3 +213,34 @@
     monitor.set_hosts(&hosts);
     assert!(monitor.start_round(0).is_empty());
 }
+
+/// Guards against hosts that name a lost one to callers because the entry cannot be removed while the
+/// store is lost, and that name it again when the store is back but the entry is not removed yet.
+#[rstest]
+#[case::eight(8, 1)]
+#[case::twelve(12, 6)]
+#[case::sixty(60, 3)]
+fn lost_hosts_are_silent_to_all_hosts_while_the_store_is_lost(
+    #[case] hosts: u64,
+    #[case] lost: u64,
+) {
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(0);
+    let mut deployment = Deployment::start(hosts);
+    deployment.run(5_000, 0, &mut rng);
+    deployment.lost.extend(0..lost);
+    let expected: collections::BTreeSet<name::HostName> =
+        (0..lost).map(|number| format!("host-{number}").into()).collect();
+    for is_store_lost in [true, false] {
+        for monitor in deployment.monitors.values_mut() {
+            monitor.set_store_lost(is_store_lost);
+        }
+        for _ in 0..6 {
+            deployment.run_round(0, &mut rng);
+            deployment.now_ms += CONTACT_MS / 6;
+        }
+        for (number, monitor) in &deployment.monitors {
+            let is_lost = deployment.lost.contains(number);
+            assert!(is_lost || monitor.silent_hosts() == expected, "host {number}");
+        }
+    }
+}
