--- a/crates/policy/src/cold_starts/share.rs
+++ b/crates/policy/src/cold_starts/share.rs
@@ -5,14 +5,13 @@
 /// Span of sending times that can arrive within one second, in milliseconds: requests take up to
 /// 100 ms to arrive.
 pub const WINDOW_MS: u64 = 1_100;
-/// Hosts that send to a cold server: with 90 hosts and 60 cold servers, each host can send to four
-/// servers, and some requests a second to each.
+/// Hosts that send to a cold server in small deployments.
 const SENDERS: usize = 6;
 /// Most senders of a cold server in larger deployments.
 const SENDERS_MAX: usize = 12;
-/// Hosts for each sender in larger deployments. With six senders for each of 60 cold servers, a third
-/// of 300 hosts could send to none of them.
-const HOSTS_PER_SENDER: usize = 15;
+/// Hosts for each sender in larger deployments: with 90 hosts and 60 servers, each host can send to eight
+/// cold ones. With six senders for each, a third of 300 hosts could send to none of them.
+const HOSTS_PER_SENDER: usize = 7;
 /// Part of its share that a host uses while its view of the hosts may differ from that of others, in
 /// percent.
 const UNSETTLED_PERCENT: u64 = 58;
