--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,7 +1,6 @@
-//! Whether an attempt at a server is made, in view of the time that is left and of other requests.
+//! Whether an attempt at a server is made, in view of the time that is left.
 
 use toucanwall_policy::admission;
-use toucanwall_policy::competition;
 use toucanwall_policy::repetition;
 use toucanwall_routing::name;
 
@@ -39,35 +38,13 @@
             };
         }
         match admission::decide(expected_ms, remaining_ms) {
-            admission::Decision::Admit => self.reject_by_competition(expected_ms, now_ms),
+            admission::Decision::Admit => None,
             admission::Decision::Refuse { retry_after_ms } => {
                 Some(Rejection { reason: "cannot be answered in time", retry_after_ms })
             }
         }
     }
 
-    /// Lets a first attempt compete with other requests for the service, once.
-    fn reject_by_competition(&self, expected_ms: Option<u64>, now_ms: u64) -> Option<Rejection> {
-        // A request that has waited for a permit was admitted before.
-        if self.waits_until_ms.is_some() {
-            return None;
-        }
-        let request = competition::Request {
-            organisation: self.organisation.as_ref().map(|organisation| &organisation.name),
-            kind: &self.route.name,
-            priority: self.caller_priority(),
-            expected_ms,
-            target_left_ms: (self.received_at_ms + self.route.target_latency_ms)
-                .saturating_sub(now_ms),
-        };
-        match self.state.compete(&self.service, request) {
-            competition::Decision::Admit => None,
-            competition::Decision::Reject { retry_after_ms } => {
-                Some(Rejection { reason: "overloaded: others go first", retry_after_ms })
-            }
-        }
-    }
-
     /// Returns the expected time from the next event to the end of the stream with a model, in
     /// milliseconds; `None` if it is not known.
     #[must_use]
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,7 +7,6 @@
 use std::sync::PoisonError;
 use std::sync::atomic;
 
-use toucanwall_policy::competition;
 use toucanwall_policy::forecast;
 use toucanwall_policy::placement;
 use toucanwall_policy::repetition;
@@ -65,7 +64,6 @@
     forecasts: Mutex<collections::BTreeMap<ForecastKey, forecast::Forecast>>,
     durations: Mutex<collections::BTreeMap<name::RouteName, shutdown::Durations>>,
     stream_paces: Mutex<collections::BTreeMap<PaceKey, repetition::StreamPace>>,
-    competitions: Mutex<collections::BTreeMap<name::ServiceName, competition::Competition>>,
 }
 
 /// What the state of a host is made from; the control thread shares most of it.
@@ -152,7 +150,6 @@
             forecasts: Mutex::new(collections::BTreeMap::new()),
             durations: Mutex::default(),
             stream_paces: Mutex::default(),
-            competitions: Mutex::default(),
         }
     }
 
@@ -288,37 +285,6 @@
         paces.get(key).and_then(|pace| pace.rest_ms(received, self.clock.now_ms()))
     }
 
-    /// Decides whether a first attempt is admitted to a service.
-    #[must_use]
-    pub fn compete(
-        &self,
-        service: &name::ServiceName,
-        request: competition::Request<'_>,
-    ) -> competition::Decision {
-        let now_ms = self.clock.now_ms();
-        let mut competitions = self.competitions.lock().unwrap_or_else(PoisonError::into_inner);
-        let competition = competitions.entry(service.clone()).or_default();
-        competition.decide(request, || self.reported_load(service), now_ms)
-    }
-
-    /// Returns the load of the servers of a service that accept requests and have reported theirs
-    /// lately.
-    fn reported_load(&self, service: &name::ServiceName) -> competition::Load {
-        let now_ms = self.clock.now_ms();
-        let mut servers = self.staying_servers(service);
-        self.retain_accepting(&mut servers);
-        let placement = self.placement();
-        let mut load = competition::Load::default();
-        for server in servers {
-            if let Some((running, waiting)) = placement.reported_load(&server.id, now_ms) {
-                load.running += u64::from(running);
-                load.waiting += u64::from(waiting);
-                load.places += u64::from(server.slots);
-            }
-        }
-        load
-    }
-
     fn with_retry_quota<F, T>(&self, service: &name::ServiceName, operation: F) -> T
     where
         F: FnOnce(&mut retry_quota::RetryQuota) -> T,
