Test suspected parts from one host, and block after a crash under the test

Causes, found by tracing each send in the simulation: - All servers crash within a second, which counts as three or four moments: the part was not suspected, and all hosts sent it when servers were back. Five crashed servers at three moments suffice now. - After a crash under a test, the score stays low, since each part was in flight at most crashes while few servers were left. Such a part is blocked now if no server has answered it since nearly all crashes and that holds for no other part. - A hold that ended because a rival became known reset the time of the test. - Twice as many hosts tested after a second, although a test took longer, and while there was no server. - A host sent the next test before the crash under the last one was weighed. - Hosts tested in a different order for each part, so that requests with two suspected parts found no host.

--- a/crates/policy/src/crash_causes/decision.rs
+++ b/crates/policy/src/crash_causes/decision.rs
@@ -14,9 +14,10 @@
 use crate::crash_history;
 
 /// Crashes at different moments from which a part is blocked although it was not tested.
-const MOMENTS_WITHOUT_TEST: usize = 5;
-/// Fraction of the crashes that such a part must explain.
-const COVERAGE_WITHOUT_TEST: f64 = 0.8;
+const MOMENTS_WITHOUT_TEST: usize = 6;
+/// Fraction of the crashes that such a part must explain, and one that is blocked after a test whatever
+/// its score.
+const COVERAGE_TO_BLOCK: f64 = 0.8;
 /// Time after a block from which crashes show that it did not end them, in milliseconds: requests that
 /// were in flight have ended, and other hosts have learned of it.
 const BLOCK_EFFECT_MS: u64 = 2_000;
@@ -30,7 +31,7 @@
 /// Fraction of the crashes of a part at which another one must have been in flight to count as an
 /// alternative.
 const RIVAL_FRACTION: f64 = 0.5;
-/// Fraction of the crashes of a part from which a further part of the prompts explains them as well.
+/// Fraction of the crashes of a part from which another part explains them as well.
 const SAME_CRASHES_FRACTION: f64 = 0.8;
 /// Score from which requests with a part are not sent to further servers after a crash.
 const SUSPECT_SCORE: f64 = 3.0;
@@ -42,6 +43,13 @@
 /// Crashes at different moments from which a part that no server has answered in full since is strongly
 /// suspected whatever its score: a cause with a large share of the requests gets none.
 const UNCLEARED_MOMENTS_TO_TEST: f64 = 5.0;
+/// Crashed servers from which such a part is strongly suspected after fewer moments: a frequent cause ends
+/// all servers of a small service almost at once.
+const UNCLEARED_CRASHES_TO_TEST: usize = 5;
+/// Crashes at different moments that are needed for that; a failing rack is a single one.
+const UNCLEARED_MOMENTS_MIN: f64 = 3.0;
+/// Error by which sums of the weights of crashes may be too low.
+const ROUNDING: f64 = 1e-6;
 /// Share of the requests from which a part is not strongly suspected for that reason alone: tests would
 /// stop most of the traffic.
 const MAX_SHARE_TO_TEST: f64 = 0.5;
@@ -70,6 +78,8 @@
     pub moments: usize,
     /// Crashes at different moments that it was in flight at and that no answer has cleared it of.
     pub uncleared: f64,
+    /// Servers that crashed while it was in flight and that no answer has cleared it of.
+    pub crashes: usize,
     /// Since when it has been suspected, in milliseconds.
     pub(super) since_ms: u64,
     /// When the part became strongly suspected.
@@ -99,10 +109,11 @@
             sample = self.sample(&explained);
             candidates = self.candidates(&held, &sample);
             let cause = candidates.iter().find(|(part, it)| {
-                it.is_cause()
+                let is_cause_by_score = it.is_cause()
                     && self.is_tested(*part, it)
+                    && self.stands_out(*part, it, &explained);
+                (is_cause_by_score || self.is_cause_by_test(*part, it, &sample))
                     && self.is_most_specific(*part)
-                    && self.stands_out(*part, it, &explained)
             });
             let Some((part, _)) = cause else { break };
             held.insert(*part, self.held.get(part).copied().unwrap_or(now_ms));
@@ -111,17 +122,20 @@
         let mut suspected = collections::BTreeMap::new();
         for (part, summary) in candidates.iter().filter(|_| sample.moments() >= MOMENTS_TO_CONFINE)
         {
-            let known = self.suspected.get(part);
+            let known = self.suspicion(*part);
             let suspicion = Suspicion {
                 score: summary.score,
                 share: self.shares(*part, &sample).of_requests,
                 moments: summary.moments,
                 uncleared: summary.coverage * sample.moments(),
+                crashes: self.runs_of(*part).len(),
                 since_ms: known.map_or(now_ms, |it| it.since_ms),
                 strong: known.and_then(|it| it.strong),
             };
             let begun = StrongSince { since_ms: now_ms, moments: suspicion.moments };
-            let strong = suspicion.is_strong().then(|| suspicion.strong.unwrap_or(begun));
+            let is_strong = suspicion.is_likely()
+                || (suspicion.is_never_answered() && self.is_most_specific(*part));
+            let strong = is_strong.then(|| suspicion.strong.unwrap_or(begun));
             suspected.insert(*part, Suspicion { strong, ..suspicion });
         }
         // Crashes that a suspected part may explain do not count against parts without a score.
@@ -136,9 +150,12 @@
                 break;
             }
         }
+        // A hold may end when a rival becomes known; a test before it counts all the same.
+        let before_hold = held.keys().filter_map(|part| Some((*part, *self.suspicion(*part)?)));
+        self.suspected_before_hold = before_hold.collect();
         self.held = held;
         let strong = suspected.iter().filter(|(_, suspicion)| suspicion.is_strong());
-        let strong = strong.map(|(part, it)| (*part, self.test_start_ms(*part, it)));
+        let strong = strong.map(|(part, it)| (*part, self.test_schedule(*part, it)));
         self.probation.replace(strong.collect());
         self.suspected = suspected;
         self.schedule_clearances(now_ms, rng);
@@ -147,20 +164,79 @@
     /// Whether a server has crashed under a test of a part, or nearly all crashes were under it and a test
     /// would tell no more. Reports that clear a part may come later than those of crashes.
     fn is_tested(&self, part: u64, summary: &likelihood::Summary) -> bool {
-        if summary.moments >= MOMENTS_WITHOUT_TEST && summary.coverage >= COVERAGE_WITHOUT_TEST {
-            return true;
-        }
-        let strong = self.suspected.get(&part).and_then(|suspicion| suspicion.strong);
-        strong.is_some_and(|strong| {
-            let tested_from_ms = strong.since_ms.saturating_add(CONFINED_AFTER_MS);
-            let is_test = |run| {
-                let crash = self.crashes.get(run);
-                crash.and_then(|it| it.learned_ms).is_some_and(|at_ms| at_ms >= tested_from_ms)
-            };
-            self.runs_of(part).iter().any(is_test)
+        let is_covered =
+            summary.moments >= MOMENTS_WITHOUT_TEST && summary.coverage >= COVERAGE_TO_BLOCK;
+        is_covered || self.has_crashed_under_test(part)
+    }
+
+    /// Whether a part is blocked after a crash under a test although its score is low: no server has
+    /// answered it in full since nearly all crashes, and that holds for no other part. While all servers
+    /// crash one after the other, each part is in flight at most crashes, so that no score is high.
+    fn is_cause_by_test(
+        &self,
+        part: u64,
+        summary: &likelihood::Summary,
+        sample: &likelihood::Sample,
+    ) -> bool {
+        summary.coverage >= COVERAGE_TO_BLOCK
+            && summary.contents >= CONTENTS_TO_BLOCK
+            && is_uncleared(summary.coverage * sample.moments(), self.runs_of(part).len())
+            && self.has_crashed_under_test(part)
+            && !self.has_rival(part)
+    }
+
+    /// Whether a server has crashed under a test of a part, without another one that is suspected more.
+    fn has_crashed_under_test(&self, part: u64) -> bool {
+        let Some(suspicion) = self.suspicion(part) else { return false };
+        let Some(strong) = suspicion.strong else { return false };
+        let tested_from_ms = strong.since_ms.saturating_add(CONFINED_AFTER_MS);
+        let is_suspected_more = |other: &u64| {
+            let other = self.suspected.get(other);
+            other.is_some_and(|it| it.is_strong() && it.score > suspicion.score)
+        };
+        self.runs_of(part).iter().any(|run| {
+            let crash = self.crashes.get(run);
+            let crash = crash.filter(|it| it.learned_ms.is_some_and(|at| at >= tested_from_ms));
+            crash.is_some_and(|it| !self.parts_beside(part, run, it).iter().any(is_suspected_more))
         })
     }
 
+    /// Whether another part explains nearly all crashes of a part as well, in requests without it.
+    fn has_rival(&self, part: u64) -> bool {
+        let runs = self.runs_of(part);
+        let mut crashes_of: collections::BTreeMap<u64, usize> = collections::BTreeMap::new();
+        for (run, crash) in runs.iter().filter_map(|run| Some((run, self.crashes.get(run)?))) {
+            for other in self.parts_beside(part, run, crash) {
+                *crashes_of.entry(other).or_default() += 1;
+            }
+        }
+        let needed = likelihood::approximate(runs.len()) * SAME_CRASHES_FRACTION;
+        crashes_of.values().any(|count| likelihood::approximate(*count) >= needed)
+    }
+
+    /// Parts that were in flight at a crash in requests without a part, and that no server has answered
+    /// in full since.
+    fn parts_beside(
+        &self,
+        part: u64,
+        run: &crash_history::ServerRun,
+        crash: &evidence::Crash,
+    ) -> collections::BTreeSet<u64> {
+        let others = crash.suspects.iter().filter(|suspect| !suspect.parts.contains(&part));
+        let mut parts: collections::BTreeSet<u64> =
+            others.flat_map(|suspect| suspect.parts.iter().copied()).collect();
+        parts.retain(|other| {
+            let evidence = self.accounts.get(other).and_then(|account| account.runs.get(run));
+            evidence.is_some_and(|it| !it.is_refuted())
+        });
+        parts
+    }
+
+    /// What is known against a part that is not blocked.
+    fn suspicion(&self, part: u64) -> Option<&Suspicion> {
+        self.suspected.get(&part).or_else(|| self.suspected_before_hold.get(&part))
+    }
+
     /// Whether no further part of the same prompts explains nearly all crashes of a part: a prompt with a
     /// cause has the parts before it as well.
     fn is_most_specific(&self, part: u64) -> bool {
@@ -184,13 +260,20 @@
         crashes_of.values().all(|count| likelihood::approximate(*count) < needed)
     }
 
-    /// When a strongly suspected part may be tested, in milliseconds.
-    fn test_start_ms(&self, part: u64, suspicion: &Suspicion) -> u64 {
+    /// When a strongly suspected part is tested.
+    fn test_schedule(&self, part: u64, suspicion: &Suspicion) -> probation::Schedule {
         let runs = self.runs_of(part);
         let learned = runs.iter().filter_map(|run| self.crashes.get(run)?.learned_ms);
         let moments = suspicion.strong.map_or(suspicion.moments, |strong| strong.moments);
         let crashes = suspicion.moments.saturating_sub(moments);
-        learned.max().unwrap_or_default().saturating_add(probation::pause_ms(crashes))
+        let from_ms =
+            learned.max().unwrap_or_default().saturating_add(probation::pause_ms(crashes));
+        // A cause was in flight at each of its crashes, so the longest of its answers had come to the
+        // moment at which it crashes servers.
+        let evidence = self.accounts.get(&part).into_iter().flat_map(|it| it.runs.values());
+        let latest = |it: &evidence::Evidence| it.progress.iter().map(|it| it.since_ms()).max();
+        let length_ms = evidence.filter(|it| !it.is_refuted()).filter_map(latest).min();
+        probation::Schedule { from_ms, length_ms: length_ms.unwrap_or_default() }
     }
 
     /// Parts that crashes speak against, those with the highest score first.
@@ -294,10 +377,15 @@
     /// Whether requests with the part are not sent again after a crash.
     #[must_use]
     pub fn is_strong(&self) -> bool {
-        let is_likely = self.score >= SUSPECT_SCORE && self.moments >= MOMENTS_TO_SUSPECT;
-        let is_never_answered =
-            self.uncleared >= UNCLEARED_MOMENTS_TO_TEST && self.share < MAX_SHARE_TO_TEST;
-        is_likely || is_never_answered
+        self.strong.is_some()
+    }
+
+    fn is_likely(&self) -> bool {
+        self.score >= SUSPECT_SCORE && self.moments >= MOMENTS_TO_SUSPECT
+    }
+
+    fn is_never_answered(&self) -> bool {
+        is_uncleared(self.uncleared, self.crashes) && self.share < MAX_SHARE_TO_TEST
     }
 
     pub(super) fn isolation(&self, part: u64) -> isolation::Isolation {
@@ -310,6 +398,13 @@
     }
 }
 
+/// Whether so many crashes that no answer has cleared a part of call for a test.
+fn is_uncleared(moments: f64, crashes: usize) -> bool {
+    let moments = moments + ROUNDING;
+    moments >= UNCLEARED_MOMENTS_TO_TEST
+        || (moments >= UNCLEARED_MOMENTS_MIN && crashes >= UNCLEARED_CRASHES_TO_TEST)
+}
+
 impl likelihood::Summary {
     fn is_cause(&self) -> bool {
         self.score >= BLOCK_SCORE
--- a/crates/policy/src/crash_causes/mod.rs
+++ b/crates/policy/src/crash_causes/mod.rs
@@ -105,12 +105,16 @@
     /// When each part that is held was first held, in milliseconds.
     held: collections::BTreeMap<u64, u64>,
     suspected: collections::BTreeMap<u64, Suspicion>,
+    /// What was known against the parts that are held.
+    suspected_before_hold: collections::BTreeMap<u64, Suspicion>,
     probation: probation::Probation,
     /// When a part was blocked last, in milliseconds, until its block is known to have ended the crashes or
     /// not.
     blocked_ms: Option<u64>,
     /// Number of servers among which this host chose last.
     servers: usize,
+    /// Whether a request with parts found no server.
+    lacks_servers: bool,
     has_news: bool,
 }
 
@@ -162,6 +166,7 @@
         F: Fn(&S) -> &str,
     {
         self.servers = servers.len();
+        self.lacks_servers = servers.is_empty();
         let suspicions = parts.iter().filter_map(|part| Some((*part, self.suspected.get(part)?)));
         let highest = suspicions.max_by(|(_, a), (_, b)| a.score.total_cmp(&b.score));
         let Some((part, suspicion)) = highest else { return };
@@ -331,7 +336,7 @@
             self.has_news = false;
             self.weigh(now_ms, rng);
         }
-        self.probation.advance(now_ms);
+        self.probation.advance(now_ms, self.lacks_servers);
         let mut steps = self.take_clearances(now_ms);
         let due: Vec<_> = self
             .held
--- a/crates/policy/tests/crash_causes.rs
+++ b/crates/policy/tests/crash_causes.rs
@@ -2,6 +2,7 @@
 
 mod crash_simulation;
 
+use crash_simulation::CrashMoment;
 use crash_simulation::Outcome;
 use crash_simulation::Rule;
 use crash_simulation::Scenario;
@@ -48,6 +49,31 @@
     }
 }
 
+/// Few servers, all of which crash within a second or two: parts were suspected too late, and tested by
+/// several hosts at the same time.
+#[rstest]
+#[case::a_second_after_the_head(CrashMoment::AfterHead(1_070), 5.0)]
+#[case::a_second_after_the_head_and_frequent(CrashMoment::AfterHead(1_070), 20.0)]
+#[case::at_any_moment(CrashMoment::Between(0, 1_000), 20.0)]
+#[case::before_the_head(CrashMoment::BeforeHead(20), 20.0)]
+fn guilty_part_is_blocked_after_all_servers_have_crashed(
+    #[case] crash_moment: CrashMoment,
+    #[case] guilty_per_s: f64,
+) {
+    let scenario = Scenario {
+        servers: 8,
+        sound_per_s: 33.0,
+        guilty_per_s,
+        crash_moment,
+        ..Scenario::default()
+    };
+    for outcome in play(scenario, 8) {
+        assert!(outcome.late_sends <= LATE_SENDS_MAX, "{outcome:?}");
+        assert!(outcome.sound_allowed >= 0.5, "{outcome:?}");
+        assert_eq!(outcome.sound_parts_blocked, 0, "{outcome:?}");
+    }
+}
+
 #[rstest]
 fn failing_rack_blocks_nothing() {
     let scenario =
