Read on only as many unread responses as the memory is free for

Traced: all 300 pauses ended in the same moment with room in the budget for a few, all were read on at once, and only the largest account was given up each time. Each of the others was read to several times its size before its turn came. A response is now read on only with 1 MB of the budget reserved for it, and its caller is given up otherwise; the pause is 1.5 s instead of 2 s.

--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -43,6 +43,8 @@
 #[derive(Debug, Default)]
 struct Accounts {
     used_bytes: usize,
+    /// Bytes that are kept free for responses that are read on.
+    reserved_bytes: usize,
     next_id: u64,
     /// Shares that may be given up for others, by id.
     evictable: collections::BTreeMap<u64, Evictable>,
@@ -117,6 +119,13 @@
     released: tokio::sync::Notify,
 }
 
+/// Memory that is kept free until this is dropped.
+#[derive(Debug)]
+pub struct Reservation {
+    ledger: Arc<Ledger>,
+    bytes: usize,
+}
+
 /// Bytes that count towards an account until they are dropped.
 struct HeldBytes {
     bytes: bytes::Bytes,
@@ -350,6 +359,20 @@
         }
     }
 
+    /// Keeps memory free for more bytes of this account. If there is none, the account is given up.
+    #[must_use]
+    pub fn reserve_or_give_up(&self, bytes: usize) -> Option<Reservation> {
+        let share = self.share();
+        let mut accounts = share.ledger.lock();
+        if accounts.used_bytes + accounts.reserved_bytes + bytes > share.ledger.limit_bytes {
+            accounts.evict(share.id);
+            share.ledger.evictions.fetch_add(1, atomic::Ordering::Relaxed);
+            return None;
+        }
+        accounts.reserved_bytes += bytes;
+        Some(Reservation { ledger: Arc::clone(&share.ledger), bytes })
+    }
+
     /// Waits until the account has to be given up; returns the bytes that it held.
     pub async fn evicted(&self) -> usize {
         let signal = EvictionSignal(Arc::clone(&self.share().eviction));
@@ -389,6 +412,12 @@
     }
 }
 
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.ledger.lock().reserved_bytes -= self.bytes;
+    }
+}
+
 impl Drop for HeldBytes {
     fn drop(&mut self) {
         let mut share = self.account.share();
--- a/crates/gateway/src/read_ahead.rs
+++ b/crates/gateway/src/read_ahead.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use crate::memory_budget;
+use crate::patience;
 use crate::state;
 use crate::stream;
 
@@ -16,7 +17,11 @@
 /// then on it is read without pauses until the caller has caught up, and only the memory budget limits
 /// it: servers could still not write for 4.5 s when only 64 KB more were read, since their own send
 /// buffers were larger.
-const UNREAD_MAX_MS: u64 = 2_000;
+const UNREAD_MAX_MS: u64 = 1_500;
+/// Memory that has to be free for a response that is read on; otherwise its caller is given up. When 300
+/// responses were read on together, a busy host needed seconds to read as much of each as its server had
+/// to get rid of before it could write again.
+const READ_ON_BYTES: usize = 1024 * 1024;
 
 /// The events that have been read and not yet written to the caller's connection. Dropping it ends the
 /// stream.
@@ -78,9 +83,9 @@
     events: tokio::sync::mpsc::UnboundedSender<Result<bytes::Bytes, stream::StreamError>>,
 ) {
     let Inputs { state, account, body_eviction, received_at_ms, deadline } = inputs;
-    let mut limit_bytes = READ_AHEAD_BYTES;
+    let mut read_on = None;
     loop {
-        let reading = read_next(&mut stream, &account, &mut limit_bytes);
+        let reading = read_next(&mut stream, &account, &mut read_on);
         let next = tokio::select! {
             next = tokio::time::timeout_at(deadline, reading) => {
                 next.unwrap_or_else(|_elapsed| Some(Err(stream::StreamError::DEADLINE)))
@@ -104,16 +109,20 @@
 async fn read_next(
     stream: &mut stream::EventStream,
     account: &memory_budget::Account,
-    limit_bytes: &mut usize,
+    read_on: &mut Option<memory_budget::Reservation>,
 ) -> Option<Result<bytes::Bytes, stream::StreamError>> {
     if account.held_bytes() < READ_AHEAD_BYTES {
-        *limit_bytes = READ_AHEAD_BYTES;
+        *read_on = None;
     } else {
         let unread_since = tokio::time::Instant::now();
-        let waiting = account.wait_for_room(*limit_bytes);
-        let unread_max = time::Duration::from_millis(UNREAD_MAX_MS);
-        if tokio::time::timeout(unread_max, waiting).await.is_err() {
-            *limit_bytes = usize::MAX;
+        let unread_until = unread_since + time::Duration::from_millis(UNREAD_MAX_MS);
+        let waiting = account.wait_for_room(READ_AHEAD_BYTES);
+        if read_on.is_none() && patience::until(unread_until, waiting).await.is_err() {
+            *read_on = account.reserve_or_give_up(READ_ON_BYTES);
+            if read_on.is_none() {
+                // The connection of the caller ends, and this task with it.
+                return std::future::pending().await;
+            }
         }
         stream.discount(unread_since.elapsed());
     }
