--- a/crates/policy/src/crash_causes/probation.rs
+++ b/crates/policy/src/crash_causes/probation.rs
@@ -43,6 +43,7 @@
     own_name: String,
     /// Names of all hosts.
     hosts: Vec<String>,
+    /// When each part may be tested.
     tests: collections::BTreeMap<u64, Schedule>,
     /// Until when there was no server to test parts on, in milliseconds.
     without_servers_until_ms: u64,
--- a/crates/policy/tests/suspected_parts.rs
+++ b/crates/policy/tests/suspected_parts.rs
@@ -122,10 +122,10 @@
     assert_eq!(HOSTS.iter().filter(may_send).count(), 1);
 }
 
-/// All servers of a small service crashed within half a second, which counted as too few moments to
+/// All servers of a small service crashed within a fifth of a second, which counted as too few moments to
 /// suspect the part, and all hosts sent it when the servers were back.
 #[rstest]
-#[case::several_moments(100, Verdict::Held)]
+#[case::three_moments(50, Verdict::Held)]
 #[case::failing_rack(5, Verdict::Allowed)]
 fn frequent_part_is_tested_after_fast_crashes(#[case] interval_ms: u64, #[case] expected: Verdict) {
     let mut causes = CrashCauses::new();
