Test no suspected part until the reports about the latest crash are in

Traced in its log: a test crashed its server at 5.19 s. Four hosts noticed the crash at once, but their own requests there did not name the part; the report of the host that had sent the test was known to the others only some 600 ms later. Meanwhile the doublings had opened three of them, which sent at 5.35, 5.55 and 5.75 s. No part is tested now for 700 ms after a host has learned of any crash.

--- a/crates/policy/src/crash_causes/decision.rs
+++ b/crates/policy/src/crash_causes/decision.rs
@@ -21,6 +21,9 @@
 /// Time after a block from which crashes show that it did not end them, in milliseconds: requests that
 /// were in flight have ended, and other hosts have learned of it.
 const BLOCK_EFFECT_MS: u64 = 2_000;
+/// Time after a crash for which no part is tested, in milliseconds: in a run with real processes, reports of
+/// other hosts came up to 600 ms late, and three hosts tested a part that had just crashed a server.
+const REPORT_MS: u64 = 700;
 /// Crashes at different moments that show that a block did not end them.
 const MOMENTS_AFTER_BLOCK: f64 = 2.0;
 /// Score from which a part is blocked: the odds against chance are a hundred to one, and no other part
@@ -268,6 +271,9 @@
         let crashes = suspicion.moments.saturating_sub(moments);
         let from_ms =
             learned.max().unwrap_or_default().saturating_add(probation::pause_ms(crashes));
+        // Other hosts may still report that the part was in flight at the latest crash.
+        let latest_crash = self.crashes.values().filter_map(|crash| crash.learned_ms).max();
+        let from_ms = from_ms.max(latest_crash.unwrap_or_default().saturating_add(REPORT_MS));
         // A cause was in flight at each of its crashes, so the longest of its answers had come to the
         // moment at which it crashes servers.
         let evidence = self.accounts.get(&part).into_iter().flat_map(|it| it.runs.values());
--- a/crates/policy/tests/suspected_parts.rs
+++ b/crates/policy/tests/suspected_parts.rs
@@ -145,6 +145,18 @@
     assert_eq!(causes.verdict(&[FIRST, GUILTY]), expected);
 }
 
+/// Hosts that knew of a crash under a test, but not yet which parts were in flight, sent the part again.
+#[rstest]
+#[case::while_reports_may_come(699, false)]
+#[case::after_that(700, true)]
+fn no_part_is_tested_right_after_a_crash(#[case] waited_ms: u64, #[case] expected: bool) {
+    let crashed_ms = 60_000;
+    let mut causes = host_after_crashes(HOSTS[0], 3);
+    assert!(may_send(&mut causes, crashed_ms));
+    causes.record_crash(&run(9), crashed_ms, &[suspect(90_000, OTHER)], crashed_ms);
+    assert_eq!(may_send(&mut causes, crashed_ms + waited_ms), expected);
+}
+
 /// Callers that left before their server crashed let the next request follow at once.
 #[rstest]
 fn test_that_its_caller_gives_up_counts_as_running_for_a_while() {
