Review case 9: idle connections on the address port stop a host for good

Tried: 118 users a second ask for addresses and leave their connections idle, until the host's 3,900 sockets are used up.

--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -29,6 +29,7 @@
         "6" => cut_answers(&fleet, has_trouble),
         "7" => slow_readers(&fleet, has_trouble),
         "8" => many_users(&fleet, has_trouble),
+        "9" => idle_users(&fleet, has_trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -327,3 +328,97 @@
     }
     outcomes
 }
+
+/// Users ask for addresses and leave their connections open and idle.
+fn idle_users(fleet: &Fleet, has_trouble: bool) -> io::Result<Outcome> {
+    /// As many as the host has descriptors for sockets.
+    const USERS: u32 = 3_900;
+    /// The sheet's 118 requests a second, each from a user of its own.
+    const USERS_PER_S: u32 = 118;
+    /// Time that a client may stay idle, as the configuration states it.
+    const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+    /// The time-out of the route `book`, and the time after it by which the rule judges.
+    const ROUTE_TIMEOUT: Duration = Duration::from_secs(10);
+    const SLACK: Duration = Duration::from_millis(500);
+    const CLIENTS: usize = 10;
+    let record = &fleet.record;
+    fleet.store.put("config", "main", &fleet::configuration(2));
+    let desk = fleet.add_server("desk-1", &["answer_ms=60", "body_bytes=800"])?;
+    fleet.register(&desk, "desk", "ready");
+    let host = fleet.add_host("host-1")?;
+    let mut platform = host.open_readiness()?;
+    let started = Instant::now();
+    let (mut kept, mut answered) = (Vec::new(), 0);
+    for number in 0..USERS {
+        thread::sleep(
+            (Duration::from_secs(1) * number / USERS_PER_S).saturating_sub(started.elapsed()),
+        );
+        match fleet::resolve(host.registry) {
+            Ok(stream) if has_trouble => kept.push(stream),
+            Ok(_) => {}
+            Err(_) => break,
+        }
+        answered += 1;
+    }
+    record.line(&format!(
+        "users: {answered} have asked for addresses, {} stay idle; the host has {} descriptors open",
+        kept.len(),
+        host.descriptors()
+    ));
+    let is_ready = platform.is_ready();
+    record.line(&format!("platform: readiness on its open connection: {is_ready}"));
+    let mut unanswered = (0, 0);
+    for (phase, pause) in [
+        ("at once", Duration::from_secs(1)),
+        ("after the idle time-out, twice over", IDLE_TIMEOUT * 2),
+    ] {
+        thread::sleep(pause);
+        let before_ms = host.processor_ms();
+        let sent = Instant::now();
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|number| {
+                let (caller, id) = (host.caller, format!("book-{}-{number}", phase.len()));
+                thread::spawn(move || -> io::Result<u16> {
+                    let stream = fleet::send(caller, "POST", "/book/x", &id, b"slot")?;
+                    stream.set_read_timeout(Some(ROUTE_TIMEOUT + SLACK))?;
+                    Ok(http::read_response(&mut BufReader::new(stream))?.status)
+                })
+            })
+            .collect();
+        for client in clients {
+            let answer = client.join().unwrap();
+            let has_none = answer.is_err();
+            unanswered.0 += usize::from(has_none);
+            unanswered.1 += 1;
+            record.line(&format!(
+                "client, {phase}: {}",
+                answer.map_or_else(
+                    |error| format!("no answer ({error})"),
+                    |status| format!("status {status}")
+                )
+            ));
+        }
+        let took_ms = sent.elapsed().as_millis().max(1);
+        let used_ms = host.processor_ms() - before_ms;
+        record.line(&format!(
+            "platform: {phase}: readiness on its open connection: {}; the host used {used_ms} ms of processor time in {took_ms} ms, has {} descriptors open",
+            platform.is_ready(),
+            host.descriptors()
+        ));
+    }
+    let closed = kept.iter().filter(|stream| is_closed(stream)).count();
+    record.line(&format!("users: the host has closed {closed} of {} idle connections", kept.len()));
+    record.line(&format!(
+        "{} of {} requests had no answer {} ms after they were sent",
+        unanswered.0,
+        unanswered.1,
+        (ROUTE_TIMEOUT + SLACK).as_millis()
+    ));
+    Ok(Outcome::of(usize::from(unanswered.0 * 2 > unanswered.1)))
+}
+
+/// Whether the other end has closed an idle connection.
+fn is_closed(mut stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).ok();
+    !matches!(stream.read(&mut [0]), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+}
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -13,6 +13,8 @@
 
 pub const KEY: &str = "key-1";
 pub const GRACE_S: u64 = 8;
+const DESCRIPTORS: usize = 4_100;
+const FILE_DESCRIPTORS: usize = 200;
 
 /// The record of a case, with the time of each line.
 #[derive(Clone)]
@@ -73,6 +75,7 @@
     pub process: Process,
     pub caller: SocketAddr,
     pub ready: SocketAddr,
+    pub registry: SocketAddr,
 }
 
 pub struct Fleet {
@@ -134,7 +137,7 @@
              ip: \"127.0.0.1\"\nzone: \"zone-1\"\nregion: \"region-1\"\nzones:\n  zone-1: \"region-1\"\n\
              listen:\n  frontend: \"127.0.0.1:{caller}\"\n  ready: \"127.0.0.1:{ready}\"\n  registry: \"127.0.0.1:{registry}\"\n\
              internal_ports:\n  - {first}\n  - {last}\nseed_nodes: []\nbootstrap: true\nfault_counted: false\n\
-             limits:\n  cpu_fraction: 0.25\n  cpu_cores: 1\n  memory_mb: {}\n  file_descriptors: 4100\n  bandwidth_mbps: 1000.0\n  disk_mb: 0\n\
+             limits:\n  cpu_fraction: 0.25\n  cpu_cores: 1\n  memory_mb: {}\n  file_descriptors: {DESCRIPTORS}\n  bandwidth_mbps: 1000.0\n  disk_mb: 0\n\
              heartbeat_ms: 1200\nbounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n  contact_ms: 3000\n  ack_ms: 4000\n  catch_up_s: 4\n\
              \x20 drain_ms: 2000\n  grace_s: {GRACE_S}\n  loss_slack_ms: 200\n  config_apply_ms: 2000\n  revert_slack_ms: 250\n\
              \x20 outer_bound_ms: 5000\n  fail_closed: false\n  revoke_ms: 5000\n  retry_budget_ratio: 0.9\n  budget_window_s: 10\n\
@@ -146,15 +149,22 @@
         let path = self.dir.join(format!("{name}.yaml"));
         fs::write(&path, settings)?;
         let log = fs::File::create(self.dir.join(format!("{name}.log")))?;
-        let child = Command::new(self.root.join("target/release/toucanwall"))
-            .arg("gateway")
+        // The platform limits the descriptors of a process and keeps some of them for files.
+        let sockets = DESCRIPTORS - FILE_DESCRIPTORS;
+        let command = format!("ulimit -n {sockets}; exec target/release/toucanwall gateway");
+        let child = Command::new("sh")
+            .args(["-c", &command])
             .env("TOUCANWALL_CONFIG", &path)
             .current_dir(&self.root)
             .stdout(log)
             .spawn()?;
         let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        let host =
-            Host { process: Process { child }, caller: address(caller), ready: address(ready) };
+        let host = Host {
+            process: Process { child },
+            caller: address(caller),
+            ready: address(ready),
+            registry: address(registry),
+        };
         let until = Instant::now() + Duration::from_secs(20);
         while !host.is_ready() {
             if Instant::now() > until {
@@ -187,6 +197,13 @@
         (figure("VmRSS:"), figure("VmHWM:"))
     }
 
+    /// Opens the connection on which the platform asks whether the host is ready.
+    pub fn open_readiness(&self) -> io::Result<Readiness> {
+        let stream = TcpStream::connect_timeout(&self.ready, Duration::from_millis(500))?;
+        stream.set_read_timeout(Some(Duration::from_millis(1_000)))?;
+        Ok(Readiness(stream))
+    }
+
     /// Number of open descriptors of the process.
     pub fn descriptors(&self) -> usize {
         let path = format!("/proc/{}/fd", self.process.child.id());
@@ -278,3 +295,28 @@
     )?;
     stream.write_all(body)
 }
+
+/// The platform's connection to the readiness address of a host.
+pub struct Readiness(TcpStream);
+
+impl Readiness {
+    pub fn is_ready(&mut self) -> bool {
+        let mut ask = || -> io::Result<u16> {
+            write!(self.0, "GET /readyz HTTP/1.1\r\nHost: host\r\n\r\n")?;
+            Ok(crate::http::read_response(&mut BufReader::new(self.0.try_clone()?))?.status)
+        };
+        ask().is_ok_and(|status| status == 200)
+    }
+}
+
+/// Asks a host for addresses; returns the connection, which stays open.
+pub fn resolve(registry: SocketAddr) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&registry, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+    write!(
+        stream,
+        "GET /resolution?name=site.example&region=region-1&zone=zone-1 HTTP/1.1\r\nHost: host\r\n\r\n"
+    )?;
+    let response = crate::http::read_response(&mut BufReader::new(stream.try_clone()?))?;
+    if response.status == 200 { Ok(stream) } else { Err(io::Error::other("no addresses")) }
+}
